--- /dev/null
+++ b/crates/driver/src/program/mod.rs
@@ -0,0 +1,8 @@
+//! The process: command line, configuration, phases, signals, log and counters.
+
+pub mod config;
+pub mod counters;
+pub mod log;
+pub mod phases;
+pub mod serve;
+pub mod signals;
--- /dev/null
+++ b/crates/driver/src/program/signals.rs
@@ -0,0 +1,27 @@
+//! Signals become notices in the owner's queue: SIGTERM and SIGINT to leave, SIGUSR1 for the counters.
+
+use crate::routing::queue::{Input, Notice};
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::iterator::Signals;
+use std::io;
+use std::sync::mpsc::Sender;
+
+pub fn forward(queue: Sender<Input>) -> io::Result<()> {
+    let mut signals = Signals::new([SIGINT, SIGTERM, SIGUSR1])?;
+    let forward = move || {
+        for signal in signals.forever() {
+            let notice = if signal == SIGUSR1 {
+                Notice::Report
+            } else {
+                Notice::Leave
+            };
+            if queue.send(Input::Notice(notice)).is_err() {
+                return;
+            }
+        }
+    };
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(forward)
+        .map(drop)
+}
--- /dev/null
+++ b/crates/driver/src/protocol/execution.rs
@@ -0,0 +1,255 @@
+//! A connection to a member, which carries one execution or probe at a time.
+
+use super::messages::{self, Front};
+use super::vitals;
+use crate::transport::stream::{Dialogue, Outbox};
+use asterlatch::interface::Sighting;
+use asterlatch::time::Point;
+
+/// What a member gave back.
+pub enum Reply {
+    /// The messages of a row, as they came.
+    Rows(Vec<u8>),
+    Error(String),
+    /// Nothing that can be understood.
+    Malformed,
+}
+
+/// News of a member's connection.
+pub enum Heard {
+    /// It is ready for its first query.
+    Up { connection: u32 },
+    Replied {
+        connection: u32,
+        at: Point,
+        reply: Reply,
+        sighting: Sighting,
+        report: Option<String>,
+    },
+    /// It is over, with or without what was to be run having gone out to its last byte.
+    Down {
+        connection: u32,
+        at: Point,
+        written: bool,
+    },
+}
+
+/// A query to send, whole.
+pub struct Run(pub Vec<u8>);
+
+#[derive(PartialEq)]
+enum State {
+    Greeting,
+    Idle,
+    Busy,
+    Over,
+}
+
+pub struct Executions {
+    connection: u32,
+    state: State,
+    /// Waits for the greeting to end.
+    first: Option<Vec<u8>>,
+    sent: bool,
+    written: bool,
+    rows: Vec<u8>,
+    described: bool,
+    row: bool,
+    complete: bool,
+    error: Option<String>,
+    sighting: Sighting,
+    report: Option<String>,
+}
+
+impl Executions {
+    pub fn new(connection: u32) -> Executions {
+        Executions {
+            connection,
+            state: State::Greeting,
+            first: None,
+            sent: false,
+            written: false,
+            rows: Vec::new(),
+            described: false,
+            row: false,
+            complete: false,
+            error: None,
+            sighting: Sighting::default(),
+            report: None,
+        }
+    }
+
+    fn send(&mut self, query: Vec<u8>, out: &mut Outbox<Heard>) {
+        *self = Executions::new(self.connection);
+        self.state = State::Busy;
+        self.sent = true;
+        out.bytes.extend(query);
+    }
+
+    fn reply(&mut self, reply: Reply, at: Point, out: &mut Outbox<Heard>) {
+        out.notices.push(Heard::Replied {
+            connection: self.connection,
+            at,
+            reply,
+            sighting: self.sighting,
+            report: self.report.take(),
+        });
+        self.sent = false;
+    }
+
+    /// Nothing that comes after can be told from the rest, so the connection is over too.
+    fn malformed(&mut self, at: Point, out: &mut Outbox<Heard>) {
+        if self.sent {
+            self.reply(Reply::Malformed, at, out);
+        }
+        self.state = State::Over;
+        out.close = true;
+    }
+
+    /// What has come is an answer: an error, or a row that was ended.
+    fn whole(&mut self) -> Option<Reply> {
+        let rows = self.complete && self.row;
+        let rows = rows.then(|| Reply::Rows(std::mem::take(&mut self.rows)));
+        self.error.take().map(Reply::Error).or(rows)
+    }
+
+    /// One message; false where it makes no sense at this place.
+    fn message(&mut self, kind: u8, body: &[u8], bytes: &[u8], at: Point, out: &mut Outbox<Heard>) -> bool {
+        let busy = self.state == State::Busy;
+        match kind {
+            b'N' | b'K' | b'R' | b'v' if self.state == State::Greeting => {
+                // Only an AuthenticationOk: no password is spoken here.
+                kind != b'R' || body == [0, 0, 0, 0]
+            }
+            b'N' => true,
+            b'S' => match messages::parameter(body) {
+                Some((vitals::POSITION, text)) => {
+                    self.sighting.position = vitals::position(text);
+                    true
+                }
+                Some((vitals::ROLE, text)) => {
+                    self.sighting.is_primary = vitals::role(text);
+                    true
+                }
+                Some((vitals::REPORT, text)) => {
+                    self.report = Some(text.to_owned());
+                    true
+                }
+                other => other.is_some(),
+            },
+            b'T' if busy && !self.described && self.error.is_none() => {
+                self.described = true;
+                self.rows.extend(bytes);
+                messages::columns(body) == Some(1)
+            }
+            b'D' if busy && self.described && !self.row && !self.complete => {
+                self.row = true;
+                self.rows.extend(bytes);
+                messages::only_value(body).is_some()
+            }
+            b'C' if busy && !self.complete && self.error.is_none() => {
+                self.complete = true;
+                self.rows.extend(bytes);
+                self.row
+            }
+            b'E' if !self.complete || !busy => {
+                self.error = messages::error_field(body, b'C').map(str::to_owned);
+                self.state != State::Idle && self.error.is_some()
+            }
+            b'Z' if self.state == State::Greeting && self.error.is_none() => {
+                self.state = State::Idle;
+                out.notices.push(Heard::Up {
+                    connection: self.connection,
+                });
+                if let Some(query) = self.first.take() {
+                    self.send(query, out);
+                }
+                true
+            }
+            b'Z' if busy => match self.whole() {
+                Some(reply) => {
+                    self.state = State::Idle;
+                    self.reply(reply, at, out);
+                    true
+                }
+                None => false,
+            },
+            _ => false,
+        }
+    }
+}
+
+impl Dialogue for Executions {
+    type Command = Run;
+    type Notice = Heard;
+
+    fn opened(&mut self, out: &mut Outbox<Heard>) {
+        messages::put_startup(&mut out.bytes, "asterlatch");
+    }
+
+    fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Heard>) {
+        let mut taken = 0;
+        while self.state != State::Over {
+            match messages::front(&input[taken..], messages::REPLY) {
+                Front::Partial => break,
+                Front::Message { kind, body, whole } => {
+                    let bytes = &input[taken..taken + whole];
+                    if !self.message(kind, body, bytes, at, out) {
+                        self.malformed(at, out);
+                    }
+                    taken += whole;
+                }
+                Front::TooLong { .. } | Front::Malformed => self.malformed(at, out),
+            }
+        }
+        input.drain(..taken);
+        // Stray bytes on an idle connection would be taken for the next answer.
+        if self.state == State::Idle && !input.is_empty() {
+            self.malformed(at, out);
+        }
+    }
+
+    fn told(&mut self, Run(query): Run, _at: Point, out: &mut Outbox<Heard>) {
+        match self.state {
+            State::Greeting => self.first = Some(query),
+            State::Idle => self.send(query, out),
+            State::Busy | State::Over => {}
+        }
+    }
+
+    fn written(&mut self, _out: &mut Outbox<Heard>) {
+        self.written = self.sent;
+    }
+
+    fn ended(&mut self, at: Point, out: &mut Outbox<Heard>) {
+        if self.sent {
+            // What came whole before the end is the answer all the same.
+            if let Some(reply) = self.whole() {
+                self.reply(reply, at, out);
+            }
+        }
+        self.state = State::Over;
+        let written = self.sent && self.written;
+        out.notices.push(Heard::Down {
+            connection: self.connection,
+            at,
+            written,
+        });
+    }
+
+    fn hungry(&self, unused: usize) -> bool {
+        self.state != State::Over && unused <= messages::REPLY + 5
+    }
+}
+
+/// The value in the messages of a row.
+pub fn value(rows: &[u8]) -> Option<&[u8]> {
+    let mut rest = rows;
+    while let Front::Message { kind, body, whole } = messages::front(rest, messages::REPLY) {
+        if kind == b'D' {
+            return messages::only_value(body).flatten();
+        }
+        rest = &rest[whole..];
+    }
+    None
+}
--- /dev/null
+++ b/crates/driver/src/protocol/roster.rs
@@ -0,0 +1,71 @@
+//! Discovery's list of members.
+
+use serde_json::Value;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Status {
+    Serving,
+    Draining,
+    Deleted,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub name: String,
+    pub address: String,
+    pub zone: String,
+    pub group: u32,
+    pub status: Status,
+    pub weight: f64,
+    pub since_ms: u64,
+    pub is_primary: bool,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Roster {
+    pub index: u64,
+    /// The whole list, not only what changed.
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+    /// Entries that could not be read.
+    pub left_out: usize,
+}
+
+fn entry(value: &Value) -> Option<Entry> {
+    let text = |name: &str| value.get(name).and_then(Value::as_str);
+    let given = |name: &str| text(name).filter(|t| !t.is_empty()).map(str::to_owned);
+    let status = match text("status")? {
+        "SERVING" => Status::Serving,
+        "DRAINING" => Status::Draining,
+        "DELETED" => Status::Deleted,
+        _ => return None,
+    };
+    // One that is gone may come with little more than its name.
+    let address = given("address").or((status == Status::Deleted).then(String::new))?;
+    let group = value.get("group").map_or(Some(0), Value::as_u64)?;
+    Some(Entry {
+        name: given("name")?,
+        address,
+        zone: text("zone").unwrap_or_default().to_owned(),
+        group: group.try_into().ok()?,
+        status,
+        weight: value.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
+        since_ms: value.get("since_ms").and_then(Value::as_u64).unwrap_or(0),
+        is_primary: text("rank").and_then(super::vitals::role) == Some(true),
+    })
+}
+
+pub fn from_value(value: &Value) -> Option<Roster> {
+    let listed = value.get("endpoints")?.as_array()?;
+    let entries: Vec<_> = listed.iter().filter_map(entry).collect();
+    Some(Roster {
+        index: value.get("index")?.as_u64()?,
+        whole: value.get("snapshot").and_then(Value::as_bool).unwrap_or(true),
+        left_out: listed.len() - entries.len(),
+        entries,
+    })
+}
+
+pub fn read(body: &[u8]) -> Option<Roster> {
+    from_value(&serde_json::from_slice(body).ok()?)
+}
--- /dev/null
+++ b/crates/driver/src/protocol/session.rs
@@ -0,0 +1,242 @@
+//! A client's connection: startup, then one statement after another.
+
+use super::messages::{self, Front, Opening};
+use crate::transport::stream::{Dialogue, Outbox};
+use asterlatch::time::Point;
+
+/// News of a client.
+pub enum Heard {
+    /// A statement, as it came, read whole at this time.
+    Statement {
+        client: u32,
+        text: Vec<u8>,
+        at: Point,
+    },
+    /// The connection sits between statements since then, or no longer does.
+    Idle {
+        client: u32,
+        since: Point,
+    },
+    Malformed,
+    Oversized,
+    /// The connection is over.
+    Gone {
+        client: u32,
+    },
+}
+
+/// The one final answer of the statement that is out, or how to end.
+pub enum Say {
+    /// The messages of a member's answer, as they came.
+    Rows(Vec<u8>),
+    Error {
+        code: &'static str,
+        message: &'static str,
+        hold_off_ms: Option<u64>,
+    },
+    /// Closes once nothing is out.
+    Leave,
+    /// Refuses whoever connected, before any statement.
+    Refuse,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    Opening,
+    Between,
+    Out,
+    Over,
+}
+
+pub struct Session {
+    client: u32,
+    state: State,
+    leaving: bool,
+    /// Of an oversized query, still to be passed over.
+    skip: usize,
+}
+
+impl Session {
+    pub fn new(client: u32) -> Session {
+        Session {
+            client,
+            state: State::Opening,
+            leaving: false,
+            skip: 0,
+        }
+    }
+
+    fn fatal(&mut self, code: &str, message: &str, out: &mut Outbox<Heard>) {
+        messages::put_error(&mut out.bytes, "FATAL", code, message, None);
+        out.close = true;
+        self.state = State::Over;
+    }
+
+    fn malformed(&mut self, message: &str, out: &mut Outbox<Heard>) {
+        out.notices.push(Heard::Malformed);
+        self.fatal("08P01", message, out);
+    }
+
+    /// Reads what comes before the first query; says how many bytes that took.
+    fn open(&mut self, input: &[u8], at: Point, out: &mut Outbox<Heard>) -> usize {
+        match messages::opening(input) {
+            Opening::Partial => 0,
+            Opening::Encryption { whole } => {
+                out.bytes.push(b'N');
+                whole
+            }
+            Opening::Startup {
+                whole,
+                minor,
+                unknown,
+            } => {
+                if minor > 0 || !unknown.is_empty() {
+                    messages::put_negotiation(&mut out.bytes, &unknown);
+                }
+                messages::put_welcome(&mut out.bytes);
+                self.rest(at, out);
+                whole
+            }
+            Opening::Cancel => {
+                out.close = true;
+                self.state = State::Over;
+                0
+            }
+            Opening::Malformed => {
+                self.malformed("unreadable startup message", out);
+                0
+            }
+        }
+    }
+
+    fn rest(&mut self, at: Point, out: &mut Outbox<Heard>) {
+        let client = self.client;
+        self.state = State::Between;
+        out.notices.push(Heard::Idle { client, since: at });
+    }
+
+    /// Reads one message between statements; says how many bytes that took.
+    fn next(&mut self, input: &[u8], at: Point, out: &mut Outbox<Heard>) -> usize {
+        let client = self.client;
+        match messages::front(input, messages::QUERY) {
+            Front::Partial => 0,
+            Front::Malformed => {
+                self.malformed("unreadable message", out);
+                0
+            }
+            Front::TooLong { kind: b'Q', whole } => {
+                out.notices.push(Heard::Oversized);
+                let fault = super::comment::TOO_LARGE;
+                messages::put_error(&mut out.bytes, "ERROR", fault.code, fault.message, None);
+                messages::put_ready(&mut out.bytes);
+                self.skip = whole;
+                0
+            }
+            Front::Message {
+                kind: b'Q',
+                body,
+                whole,
+            } => {
+                match messages::text(body) {
+                    None => self.malformed("unreadable query", out),
+                    Some(text) if text.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() => {
+                        messages::put(&mut out.bytes, b'I', &[]);
+                        messages::put_ready(&mut out.bytes);
+                        self.rest(at, out);
+                    }
+                    Some(text) => {
+                        let text = text.as_bytes().to_vec();
+                        out.notices.push(Heard::Statement { client, text, at });
+                        self.state = State::Out;
+                    }
+                }
+                whole
+            }
+            Front::Message {
+                kind: b'X', whole, ..
+            } => {
+                out.close = true;
+                self.state = State::Over;
+                whole
+            }
+            Front::Message { .. } | Front::TooLong { .. } => {
+                self.malformed("only simple queries are spoken here", out);
+                0
+            }
+        }
+    }
+
+    fn answer(&mut self, at: Point, out: &mut Outbox<Heard>) {
+        messages::put_ready(&mut out.bytes);
+        self.rest(at, out);
+        self.end_if_leaving(out);
+    }
+
+    fn end_if_leaving(&mut self, out: &mut Outbox<Heard>) {
+        if self.leaving && matches!(self.state, State::Opening | State::Between) {
+            out.close = true;
+            self.state = State::Over;
+        }
+    }
+}
+
+impl Dialogue for Session {
+    type Command = Say;
+    type Notice = Heard;
+
+    fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Heard>) {
+        loop {
+            let skipped = self.skip.min(input.len());
+            input.drain(..skipped);
+            self.skip -= skipped;
+            if self.skip > 0 {
+                return;
+            }
+            let taken = match self.state {
+                State::Opening => self.open(input, at, out),
+                State::Between => self.next(input, at, out),
+                State::Out => return,
+                State::Over => return input.clear(),
+            };
+            input.drain(..taken);
+            if taken == 0 && self.skip == 0 && self.state != State::Over {
+                return;
+            }
+        }
+    }
+
+    /// An answer to a statement that is no longer out would be a second one, and is left out.
+    fn told(&mut self, say: Say, at: Point, out: &mut Outbox<Heard>) {
+        match say {
+            Say::Rows(bytes) if self.state == State::Out => {
+                out.bytes.extend(bytes);
+                self.answer(at, out);
+            }
+            Say::Error {
+                code,
+                message,
+                hold_off_ms,
+            } if self.state == State::Out => {
+                messages::put_error(&mut out.bytes, "ERROR", code, message, hold_off_ms);
+                self.answer(at, out);
+            }
+            Say::Rows(_) | Say::Error { .. } => {}
+            Say::Leave => {
+                self.leaving = true;
+                self.end_if_leaving(out);
+            }
+            Say::Refuse if self.state == State::Over => {}
+            Say::Refuse => self.fatal("53300", "too many connections", out),
+        }
+    }
+
+    fn ended(&mut self, _at: Point, out: &mut Outbox<Heard>) {
+        self.state = State::Over;
+        out.notices.push(Heard::Gone { client: self.client });
+    }
+
+    /// While a statement is out, what the client sends ahead stays with the kernel beyond one query.
+    fn hungry(&self, unused: usize) -> bool {
+        self.state != State::Over && unused <= messages::QUERY
+    }
+}
--- /dev/null
+++ b/crates/driver/src/protocol/vitals.rs
@@ -0,0 +1,53 @@
+//! Positions, roles and reports as members word them.
+
+use asterlatch::interface::Sighting;
+use asterlatch::time::{Point, Span};
+
+pub const POSITION: &str = "as_of";
+pub const ROLE: &str = "rank";
+pub const REPORT: &str = "vitals";
+
+pub fn role(text: &str) -> Option<bool> {
+    match text {
+        "source" => Some(true),
+        "copy" => Some(false),
+        _ => None,
+    }
+}
+
+/// A position, which is a Unix time in whole milliseconds.
+pub fn position(text: &str) -> Option<Point> {
+    let ms = text
+        .parse::<u64>()
+        .ok()
+        .filter(|ms| *ms > 0 && *ms < u64::MAX / 1000);
+    ms.map(|ms| Point(0) + Span::millis(ms))
+}
+
+/// What a report's text holds: its position is in seconds there, and is rounded down, for no member may seem
+/// fresher than it is. `position` and `role` name the fields that hold them.
+pub fn report(text: &str, position: Option<&str>, role: Option<&str>) -> Sighting {
+    let pairs = text.split(',').filter_map(|p| p.split_once('='));
+    let mut sighting = Sighting::default();
+    for (name, value) in pairs.map(|(n, v)| (n.trim(), v.trim())) {
+        let Some(number) = value.parse::<f64>().ok().filter(|v| v.is_finite()) else {
+            continue;
+        };
+        if Some(name) == position && number > 0.0 {
+            // The text's last digit may stand just below the millisecond that it means.
+            sighting.position = Some(Point(0) + Span::millis((number * 1000.0 + 0.001).floor() as u64));
+        }
+        if Some(name) == role {
+            sighting.is_primary = Some(number == 1.0);
+        }
+    }
+    sighting
+}
+
+/// What is known from both.
+pub fn joined(a: Sighting, b: Sighting) -> Sighting {
+    Sighting {
+        position: a.position.max(b.position),
+        is_primary: a.is_primary.or(b.is_primary),
+    }
+}
--- /dev/null
+++ b/crates/driver/src/protocol/watch.rs
@@ -0,0 +1,97 @@
+//! The calls to discovery: the whole list first, then one watch after another, each asked for in the same turn
+//! in which the last was answered.
+
+use super::http::{self, Answer};
+use super::roster::{self, Roster};
+use crate::transport::stream::{Dialogue, Outbox};
+use asterlatch::time::Point;
+
+pub enum Heard {
+    Told(Roster),
+    /// An answer that can't be read; the last good list stands.
+    Unreadable,
+    Down,
+}
+
+pub struct Watch {
+    host: String,
+    wait_ms: u64,
+    /// The version after which news are wanted.
+    after: Option<u64>,
+    over: bool,
+}
+
+impl Watch {
+    pub fn new(host: String, wait_ms: u64, after: Option<u64>) -> Watch {
+        Watch {
+            host,
+            wait_ms,
+            after,
+            over: false,
+        }
+    }
+
+    fn ask(&self, out: &mut Outbox<Heard>) {
+        const LIST: &str = "/registry/instances";
+        let path = match self.after {
+            Some(index) => format!("{LIST}?after={index}&wait_ms={}", self.wait_ms),
+            None => LIST.to_owned(),
+        };
+        out.bytes.extend(http::get(&path, &self.host));
+    }
+
+    fn fail(&mut self, out: &mut Outbox<Heard>) {
+        out.notices.push(Heard::Unreadable);
+        self.over = true;
+        out.close = true;
+    }
+}
+
+impl Dialogue for Watch {
+    /// It is only ever hung up on.
+    type Command = std::convert::Infallible;
+    type Notice = Heard;
+
+    fn opened(&mut self, out: &mut Outbox<Heard>) {
+        self.ask(out);
+    }
+
+    fn heard(&mut self, input: &mut Vec<u8>, _at: Point, out: &mut Outbox<Heard>) {
+        while !self.over && !input.is_empty() {
+            let (status, body, taken, keep) = match http::answer(input) {
+                Answer::Partial => return,
+                Answer::Malformed => return self.fail(out),
+                Answer::Whole {
+                    status,
+                    body,
+                    taken,
+                    keep,
+                } => (status, body, taken, keep),
+            };
+            input.drain(..taken);
+            let Some(told) = roster::read(&body).filter(|_| status == 200) else {
+                return self.fail(out);
+            };
+            self.after = Some(told.index);
+            out.notices.push(Heard::Told(told));
+            if keep {
+                self.ask(out);
+            } else {
+                self.over = true;
+                out.close = true;
+            }
+        }
+    }
+
+    fn told(&mut self, command: Self::Command, _at: Point, _out: &mut Outbox<Heard>) {
+        match command {}
+    }
+
+    fn ended(&mut self, _at: Point, out: &mut Outbox<Heard>) {
+        out.notices.push(Heard::Down);
+    }
+
+    fn hungry(&self, unused: usize) -> bool {
+        !self.over && unused <= http::ANSWER * 2
+    }
+}
--- /dev/null
+++ b/crates/driver/src/routing/figures.rs
@@ -0,0 +1,54 @@
+//! Counts of what was taken in, sent and answered.
+
+macro_rules! figures {
+    ($($name:ident,)*) => {
+        #[derive(Clone, Debug, Default)]
+        pub struct Figures {
+            $(pub $name: u64,)*
+        }
+        impl Figures {
+            pub fn named(&self) -> impl Iterator<Item = (&'static str, u64)> {
+                [$((stringify!($name), self.$name),)*].into_iter()
+            }
+        }
+    };
+}
+figures! {
+    clients_accepted,
+    accepts_failed,
+    clients_refused,
+    clients_closed_for_room,
+    statements_taken,
+    statements_unreadable,
+    clients_malformed,
+    withdrawn,
+    completed,
+    rejected,
+    aborted,
+    rejected_for_memory,
+    executions_sent,
+    executions_on_new_connections,
+    ended_completed,
+    ended_errored,
+    ended_turned_away,
+    ended_timed_out,
+    ended_no_connection,
+    ended_connection_lost,
+    ended_cancelled,
+    ended_never_sent,
+    ended_missed,
+    members_malformed,
+    idle_connections_stale,
+    probes_sent,
+    probes_answered,
+    rosters_told,
+    rosters_unreadable,
+    roster_entries_left_out,
+    discovery_dials,
+    late_answers_dropped,
+    queue_longest,
+    wake_up_latest_us,
+    open_statements,
+    open_clients,
+    open_member_connections,
+}
--- /dev/null
+++ b/crates/driver/src/routing/queue.rs
@@ -0,0 +1,35 @@
+//! What comes to the owner.
+
+use crate::protocol::{execution, session, watch};
+use crate::transport::listener::Arrival;
+
+/// What the process was told from outside.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Notice {
+    Leave,
+    Report,
+}
+
+pub enum Input {
+    Arrival(Arrival<session::Say>),
+    Client(session::Heard),
+    Member(execution::Heard),
+    Discovery(watch::Heard),
+    Notice(Notice),
+}
+
+macro_rules! taken_in {
+    ($($kind:ty => $name:ident,)*) => {
+        $(impl From<$kind> for Input {
+            fn from(news: $kind) -> Input {
+                Input::$name(news)
+            }
+        })*
+    };
+}
+taken_in! {
+    Arrival<session::Say> => Arrival,
+    session::Heard => Client,
+    execution::Heard => Member,
+    watch::Heard => Discovery,
+}
--- /dev/null
+++ b/crates/driver/src/routing/tables.rs
@@ -0,0 +1,94 @@
+//! Names as small ids: members, zones and workloads as the module knows them. Ids last as long as the process.
+
+use crate::protocol::roster::{Entry, Status};
+use asterlatch::interface::{MemberEntry, Standing};
+use asterlatch::time::{Point, Span};
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+
+#[derive(Default)]
+pub struct Names(BTreeMap<String, usize>);
+
+impl Names {
+    pub fn of(names: &[String]) -> Names {
+        let mut table = Names::default();
+        for name in names {
+            table.intern(name);
+        }
+        table
+    }
+
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.0.get(name).copied()
+    }
+
+    pub fn intern(&mut self, name: &str) -> usize {
+        match self.find(name) {
+            Some(id) => id,
+            None => {
+                let id = self.0.len();
+                self.0.insert(name.to_owned(), id);
+                id
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct Members {
+    names: Names,
+    addresses: Vec<Option<SocketAddr>>,
+    zones: Names,
+    groups: BTreeSet<u32>,
+}
+
+impl Members {
+    pub fn new(zones: &[String]) -> Members {
+        Members {
+            zones: Names::of(zones),
+            ..Members::default()
+        }
+    }
+
+    pub fn address(&self, member: u32) -> Option<SocketAddr> {
+        self.addresses.get(member as usize).copied().flatten()
+    }
+
+    pub fn has_group(&self, group: u32) -> bool {
+        self.groups.contains(&group)
+    }
+
+    /// The entry as the module takes it; none where its address can't be read.
+    pub fn learn(&mut self, e: &Entry) -> Option<MemberEntry> {
+        let address = e.address.parse().ok();
+        if address.is_none() && e.status != Status::Deleted {
+            return None;
+        }
+        let id = self.names.intern(&e.name);
+        self.addresses.resize(self.addresses.len().max(id + 1), None);
+        self.addresses[id] = address.or(self.addresses[id]);
+        self.groups.insert(e.group);
+        Some(MemberEntry {
+            id: id as u32,
+            zone: self.zones.intern(&e.zone) as u16,
+            group: e.group,
+            standing: match e.status {
+                Status::Serving => Standing::Ready,
+                Status::Draining => Standing::Draining,
+                Status::Deleted => Standing::Gone,
+            },
+            named_primary: e.is_primary,
+            size: e.weight,
+            started: (e.since_ms > 0).then(|| Point(0) + Span::millis(e.since_ms.min(u64::MAX / 1000))),
+        })
+    }
+}
+
+/// The session that a key names; zero stands for none.
+pub fn session(key: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish().max(1)
+}
--- /dev/null
+++ b/crates/driver/src/transport/pool.rs
@@ -0,0 +1,101 @@
+//! Connections to members, held by the owner. One carries one statement at a time; among idle ones the most
+//! recently used goes first, so that those beyond the need grow old and are closed.
+
+use super::stream::Line;
+use asterlatch::time::{Point, Span};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+struct Held<C> {
+    line: Line<C>,
+    member: u32,
+    address: SocketAddr,
+    idle_since: Option<Point>,
+}
+
+pub struct Pool<C> {
+    held: BTreeMap<u32, Held<C>>,
+    /// Idle ones by member, the most recently used last.
+    idle: BTreeMap<u32, Vec<u32>>,
+    next: u32,
+}
+
+impl<C> Default for Pool<C> {
+    fn default() -> Self {
+        Pool {
+            held: BTreeMap::new(),
+            idle: BTreeMap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl<C> Pool<C> {
+    pub fn next_id(&mut self) -> u32 {
+        self.next = self.next.wrapping_add(1);
+        self.next
+    }
+
+    pub fn add(&mut self, id: u32, member: u32, address: SocketAddr, line: Line<C>) {
+        let idle_since = None;
+        let held = Held {
+            line,
+            member,
+            address,
+            idle_since,
+        };
+        self.held.insert(id, held);
+    }
+
+    /// Takes an idle connection to the member at this address.
+    pub fn take(&mut self, member: u32, address: SocketAddr) -> Option<u32> {
+        let idle = self.idle.get_mut(&member)?;
+        while let Some(id) = idle.pop() {
+            let held = self.held.get_mut(&id).filter(|h| h.address == address);
+            if let Some(held) = held {
+                held.idle_since = None;
+                return Some(id);
+            }
+            self.held.remove(&id);
+        }
+        None
+    }
+
+    pub fn give_back(&mut self, id: u32, now: Point) {
+        if let Some(held) = self.held.get_mut(&id) {
+            held.idle_since = Some(now);
+            self.idle.entry(held.member).or_default().push(id);
+        }
+    }
+
+    pub fn tell(&self, id: u32, command: C) {
+        if let Some(held) = self.held.get(&id) {
+            held.line.tell(command);
+        }
+    }
+
+    /// Lets the connection go; its coroutine ends when nobody holds the line.
+    pub fn remove(&mut self, id: u32) {
+        if let Some(held) = self.held.remove(&id) {
+            let idle = self.idle.entry(held.member).or_default();
+            idle.retain(|i| *i != id);
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// The connection that has sat idle the longest, and since when.
+    pub fn oldest_idle(&self) -> Option<(Point, u32)> {
+        let firsts = self.idle.values().filter_map(|ids| ids.first());
+        let since = |id: &u32| Some((self.held.get(id)?.idle_since?, *id));
+        firsts.filter_map(since).min()
+    }
+
+    pub fn end_idle_before(&mut self, now: Point, most: Span) {
+        while let Some((_, id)) = self.oldest_idle().filter(|(since, _)| now - *since >= most) {
+            self.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/driver/src/transport/stream.rs
@@ -0,0 +1,276 @@
+//! One coroutine a connection: it waits for the socket and for commands alike, and gives both to a `Dialogue`.
+//! It keeps no time: whoever holds the `Line` says when to end it.
+
+use super::clock::Clock;
+use asterlatch::time::Point;
+use may::coroutine::Builder;
+use may::io::{CoIo, WaitIo, WaitIoWaker};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
+
+/// Bytes of coroutine stack. Buffers live on the heap, for an overflow kills the process.
+pub const STACK: usize = 64 * 1024;
+/// Read at once, so that one busy peer doesn't keep the others waiting.
+const CHUNK: usize = 16 * 1024;
+
+/// What a dialogue wants done: bytes to write, news for the owner, the connection closed once they are out.
+pub struct Outbox<N> {
+    pub bytes: Vec<u8>,
+    pub notices: Vec<N>,
+    pub close: bool,
+}
+
+/// What is spoken on a connection, as a function of what comes in.
+pub trait Dialogue: Send + 'static {
+    type Command: Send + 'static;
+    type Notice: Send + 'static;
+    /// The connection stands.
+    fn opened(&mut self, _out: &mut Outbox<Self::Notice>) {}
+    /// Takes what it can from the front of `input`, which arrived by `at`.
+    fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Self::Notice>);
+    fn told(&mut self, command: Self::Command, at: Point, out: &mut Outbox<Self::Notice>);
+    /// All bytes put out so far are with the kernel.
+    fn written(&mut self, _out: &mut Outbox<Self::Notice>) {}
+    /// The connection is over, whoever ended it. Commands may still be told after that.
+    fn ended(&mut self, at: Point, out: &mut Outbox<Self::Notice>);
+    /// Whether more may be read while this much lies unused.
+    fn hungry(&self, unused: usize) -> bool;
+}
+
+/// The owner's end of a connection, which ends when this is dropped.
+pub struct Line<C> {
+    commands: Option<Sender<C>>,
+    waker: WaitIoWaker,
+}
+
+impl<C> Line<C> {
+    /// A command to a connection that has ended is lost, which is harmless: its end has been told.
+    pub fn tell(&self, command: C) {
+        if self.commands.as_ref().is_some_and(|c| c.send(command).is_ok()) {
+            self.waker.wakeup();
+        }
+    }
+}
+
+impl<C> Drop for Line<C> {
+    fn drop(&mut self) {
+        self.commands = None;
+        self.waker.wakeup();
+    }
+}
+
+struct Connection<D: Dialogue, M> {
+    io: CoIo<TcpStream>,
+    up: bool,
+    dialogue: D,
+    commands: Receiver<D::Command>,
+    queue: Sender<M>,
+    clock: Clock,
+    input: Vec<u8>,
+    /// When the last of `input` came.
+    read_at: Point,
+    out: Outbox<D::Notice>,
+    unwritten: bool,
+}
+
+enum Flow {
+    Wait,
+    Again,
+    End,
+}
+
+impl<D: Dialogue, M: From<D::Notice>> Connection<D, M> {
+    /// The owner is gone only when the process ends.
+    fn report(&mut self) {
+        for notice in self.out.notices.drain(..) {
+            let _ = self.queue.send(notice.into());
+        }
+    }
+
+    fn connect(&mut self) -> Flow {
+        match self.io.inner().take_error() {
+            Ok(None) => {}
+            _ => return Flow::End,
+        }
+        match self.io.inner().peer_addr() {
+            Ok(_) => {
+                self.up = true;
+                self.dialogue.opened(&mut self.out);
+                Flow::Again
+            }
+            Err(e) if e.kind() == ErrorKind::NotConnected => Flow::Wait,
+            Err(_) => Flow::End,
+        }
+    }
+
+    fn read(&mut self) -> Flow {
+        if !self.dialogue.hungry(self.input.len()) {
+            return Flow::Wait;
+        }
+        let held = self.input.len();
+        self.input.resize(held + CHUNK, 0);
+        let got = self.io.inner().read(&mut self.input[held..]);
+        self.input.truncate(held + *got.as_ref().unwrap_or(&0));
+        match got {
+            Ok(0) => Flow::End,
+            Ok(_) => {
+                self.read_at = self.clock.now();
+                self.dialogue.heard(&mut self.input, self.read_at, &mut self.out);
+                Flow::Again
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => Flow::Wait,
+            Err(e) if e.kind() == ErrorKind::Interrupted => Flow::Again,
+            Err(_) => Flow::End,
+        }
+    }
+
+    fn write(&mut self) -> Flow {
+        self.unwritten |= !self.out.bytes.is_empty();
+        while !self.out.bytes.is_empty() {
+            match self.io.inner().write(&self.out.bytes) {
+                Ok(n) => drop(self.out.bytes.drain(..n)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Flow::Wait,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Flow::End,
+            }
+        }
+        if std::mem::take(&mut self.unwritten) {
+            self.dialogue.written(&mut self.out);
+        }
+        Flow::Wait
+    }
+
+    /// One look at everything. Reading goes before commands, so that what is written to a connection whose
+    /// end already lies here is known never to have gone out.
+    fn turn(&mut self) -> Flow {
+        let mut flow = if self.up { self.read() } else { self.connect() };
+        while !matches!(flow, Flow::End) {
+            match self.commands.try_recv() {
+                Ok(command) => {
+                    self.dialogue.told(command, self.clock.now(), &mut self.out);
+                    self.dialogue.heard(&mut self.input, self.read_at, &mut self.out);
+                }
+                Err(TryRecvError::Empty) => break,
+                Err(TryRecvError::Disconnected) => flow = Flow::End,
+            }
+        }
+        if self.up && !matches!(flow, Flow::End) && matches!(self.write(), Flow::End) {
+            flow = Flow::End;
+        }
+        self.report();
+        if self.out.close && (self.out.bytes.is_empty() || !self.up) {
+            flow = Flow::End;
+        }
+        flow
+    }
+
+    fn run(mut self) {
+        let spare = 4 * CHUNK;
+        loop {
+            match self.turn() {
+                Flow::Wait => {
+                    if self.input.is_empty() && self.input.capacity() > spare {
+                        self.input = Vec::new();
+                    }
+                    self.io.wait_io();
+                }
+                Flow::Again => {}
+                Flow::End => break,
+            }
+        }
+        let Connection {
+            io,
+            mut dialogue,
+            commands,
+            queue,
+            clock,
+            mut out,
+            ..
+        } = self;
+        // Closed before its end is told, so that no more descriptors are open than the owner counts.
+        drop(io);
+        dialogue.ended(clock.now(), &mut out);
+        while let Ok(command) = commands.try_recv() {
+            dialogue.told(command, clock.now(), &mut out);
+        }
+        for notice in out.notices.drain(..) {
+            let _ = queue.send(notice.into());
+        }
+    }
+}
+
+/// Runs `dialogue` on a connection that stands (`up`) or is coming up.
+pub fn run<D, M>(
+    stream: TcpStream,
+    up: bool,
+    mut dialogue: D,
+    queue: &Sender<M>,
+    clock: Clock,
+    announce: impl FnOnce(Line<D::Command>),
+) -> io::Result<()>
+where
+    D: Dialogue,
+    M: From<D::Notice> + Send + 'static,
+{
+    stream.set_nodelay(true)?;
+    let io = CoIo::new(stream).map_err(|_| io::Error::other("not registered with the event loop"))?;
+    let (sender, commands) = channel();
+    let waker = io.waker();
+    let mut out = Outbox {
+        bytes: Vec::new(),
+        notices: Vec::new(),
+        close: false,
+    };
+    if up {
+        dialogue.opened(&mut out);
+    }
+    let connection = Connection {
+        io,
+        up,
+        dialogue,
+        commands,
+        queue: queue.clone(),
+        clock,
+        input: Vec::new(),
+        read_at: clock.now(),
+        out,
+        unwritten: false,
+    };
+    // The owner must know the line before the first news from it.
+    announce(Line {
+        commands: Some(sender),
+        waker,
+    });
+    let builder = Builder::new().stack_size(STACK / size_of::<usize>());
+    may::go!(builder, move || connection.run())?;
+    Ok(())
+}
+
+/// Opens a connection; whether it comes up is told by its dialogue.
+pub fn dial<D, M>(
+    address: SocketAddr,
+    dialogue: D,
+    queue: &Sender<M>,
+    clock: Clock,
+) -> io::Result<Line<D::Command>>
+where
+    D: Dialogue,
+    M: From<D::Notice> + Send + 'static,
+{
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(IN_PROGRESS) => {
+            return Err(e)
+        }
+        _ => {}
+    }
+    let mut line = None;
+    run(socket.into(), false, dialogue, queue, clock, |l| line = Some(l))?;
+    line.ok_or_else(|| io::Error::other("no line announced"))
+}
+
+/// Linux's EINPROGRESS, which std has no kind for.
+const IN_PROGRESS: i32 = 115;
--- a/crates/simhost/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,24 +1,55 @@
-//! Turns the start text of an instance into the module's settings; keys it doesn't know are skipped.
+//! Turns what a driver is told at its start into the module's settings: the bench's text and a deployment's
+//! nested JSON become one map of keys, so that both hosts decide alike. Keys it doesn't know are skipped.
 
-use crate::wire::Fault;
 use asterlatch::interface::{Freshness, Repeat, Scope, Settings, WorkloadSettings};
 use asterlatch::time::{Point, Span};
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-/// What only the adapter needs to decode with.
+pub type Fault = String;
+
+/// What only a host needs to decode with.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Decoding {
     pub epoch: Point,
     pub position_field: Option<usize>,
     pub role_field: Option<usize>,
     pub positions: bool,
+    /// Names in the order of their numbers.
+    pub workloads: Vec<String>,
+    pub zones: Vec<String>,
+    pub report_fields: Vec<String>,
+    pub reported: bool,
+    pub connect_timeout: Span,
 }
 
-struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+/// One value a path, as in the bench's text.
+pub struct Pairs(BTreeMap<String, String>);
 
-impl<'a> Pairs<'a> {
-    fn text(&self, key: &str) -> Option<&'a str> {
-        self.0.get(key).copied().filter(|v| !v.is_empty())
+impl Pairs {
+    pub fn from_text(text: &str) -> Result<Pairs, Fault> {
+        let mut map = BTreeMap::new();
+        for line in text.lines().filter(|l| !l.trim().is_empty()) {
+            let (key, value) = line
+                .split_once('=')
+                .ok_or_else(|| format!("setting without a value: '{line}'"))?;
+            map.insert(key.trim().to_owned(), value.trim().to_owned());
+        }
+        Ok(Pairs(map))
+    }
+
+    pub fn from_json(value: &Value) -> Result<Pairs, Fault> {
+        let mut map = BTreeMap::new();
+        match value {
+            Value::Object(_) => flatten(value, "", &mut map),
+            _ => return Err("the settings are not an object".to_owned()),
+        }
+        Ok(Pairs(map))
+    }
+
+    fn text(&self, key: &str) -> Option<&str> {
+        self.0.get(key).map(String::as_str).filter(|v| !v.is_empty())
     }
 
     fn value<T: FromStr>(&self, key: &str, absent: T) -> Result<T, Fault> {
@@ -38,11 +69,42 @@
         self.value(key, absent)
     }
 
-    fn list(&self, key: &str) -> Vec<&'a str> {
+    fn list(&self, key: &str) -> Vec<&str> {
         self.text(key).map(|v| v.split(',').collect()).unwrap_or_default()
     }
 }
 
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => String::new(),
+        Value::String(s) => s.replace([' ', ','], "_"),
+        other => other.to_string(),
+    }
+}
+
+/// Lists of objects are counted and numbered, other lists joined: the form of the bench's text.
+fn flatten(value: &Value, path: &str, map: &mut BTreeMap<String, String>) {
+    let below = |name: &str| match path {
+        "" => name.to_owned(),
+        _ => format!("{path}.{name}"),
+    };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| flatten(v, &below(name), map)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            map.insert(below("count"), items.len().to_string());
+            let numbered = items.iter().enumerate();
+            numbered.for_each(|(n, v)| flatten(v, &below(&n.to_string()), map));
+        }
+        Value::Array(items) => {
+            let joined: Vec<_> = items.iter().map(plain).collect();
+            map.insert(path.to_owned(), joined.join(","));
+        }
+        other => {
+            map.insert(path.to_owned(), plain(other));
+        }
+    }
+}
+
 fn workload(pairs: &Pairs, n: usize, bounds: &[&str], reads: &[&str]) -> Result<WorkloadSettings, Fault> {
     let key = |name: &str| format!("categories.{n}.{name}");
     let slo_time = pairs.span(&key("objective_us"), Span::default())?;
@@ -81,22 +143,14 @@
     })
 }
 
-pub fn parse(text: &str) -> Result<(Settings, Decoding), Fault> {
-    let mut map = BTreeMap::new();
-    for line in text.lines().filter(|l| !l.trim().is_empty()) {
-        let (key, value) = line
-            .split_once('=')
-            .ok_or_else(|| format!("setting without a value: '{line}'"))?;
-        map.insert(key.trim(), value.trim());
-    }
-    let pairs = Pairs(map);
+pub fn read(pairs: &Pairs) -> Result<(Settings, Decoding), Fault> {
     let (bounds, reads) = (
         pairs.list("family_info.staleness_bound_us"),
         pairs.list("family_info.freshness"),
     );
     let mut workloads = Vec::new();
     for n in 0..pairs.value("categories.count", 0usize)? {
-        workloads.push(workload(&pairs, n, &bounds, &reads)?);
+        workloads.push(workload(pairs, n, &bounds, &reads)?);
     }
     let mut tenant_quotas = Vec::new();
     for n in 0..pairs.value("parties.count", 0usize)? {
@@ -131,7 +185,14 @@
             Span(0)
         },
     };
+    let owned = |names: &[&str]| names.iter().map(|s| (*s).to_owned()).collect();
+    let names = (0..settings.workloads.len()).map(|n| pairs.text(&format!("categories.{n}.name")));
     let decoding = Decoding {
+        workloads: names.map(|n| n.unwrap_or_default().to_owned()).collect(),
+        zones: owned(&pairs.list("zones")),
+        report_fields: owned(&fields),
+        reported,
+        connect_timeout: pairs.span("limits.connect_timeout_us", Span::millis(250))?,
         epoch: Point(pairs.value("family_info.counted_from_us", 0)?),
         position_field: field("x0"),
         role_field: field("x1"),
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -1,10 +1,10 @@
 //! Hosts drivers by number: decodes records into calls and results into records.
 
-use crate::settings::{self, Decoding};
 use crate::wire::{Batch, Fault, Fields, Reply};
 use asterlatch::choice::Driver;
 use asterlatch::interface::*;
 use asterlatch::time::{Point, Span};
+use asterlatch_settings::{Decoding, Pairs};
 use std::collections::BTreeMap;
 
 struct Instance {
@@ -137,7 +137,7 @@
             6 => {
                 let (seed, len) = (f.u64()?, f.u32()? as usize);
                 let text = std::str::from_utf8(f.take(len)?).map_err(|e| format!("settings text: {e}"))?;
-                let (settings, decoding) = settings::parse(text)?;
+                let (settings, decoding) = asterlatch_settings::read(&Pairs::from_text(text)?)?;
                 let driver = Driver::new(&settings, seed, now);
                 let workloads = settings.workloads.len();
                 self.instances.insert(
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,7 +1,6 @@
 //! Speaks the bench's wire on standard input and output and hosts one driver per instance.
 
 mod host;
-mod settings;
 mod wire;
 
 use std::io::{self, BufReader, Write};
