--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -1,12 +1,8 @@
 //! The routing service on real sockets: `asterlatch serve`.
 
-mod program;
-mod protocol;
-mod routing;
-mod transport;
-
+use asterlatch_driver::program::config::{self, Config};
+use asterlatch_driver::program::serve;
 use clap::{Parser, Subcommand};
-use program::config::{self, Config};
 use std::process::ExitCode;
 
 #[derive(Parser)]
@@ -44,8 +40,8 @@
 
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
-        Command::Serve { config } => load(&config).and_then(program::serve::serve),
-        Command::Check { config } => load(&config).and_then(|c| program::serve::check(&c)),
+        Command::Serve { config } => load(&config).and_then(serve::serve),
+        Command::Check { config } => load(&config).and_then(|c| serve::check(&c)),
         Command::Version => {
             println!("asterlatch {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/driver/src/program/phases.rs
+++ b/crates/driver/src/program/phases.rs
@@ -2,8 +2,9 @@
 
 use asterlatch::time::{Point, Span};
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Phase {
+    #[default]
     Starting,
     Serving,
     /// Told to leave: clients still arrive for a while, and are served.
@@ -11,13 +12,19 @@
         since: Point,
     },
     /// No client is taken any more; each goes after the answer it waits for.
-    Draining,
+    Draining {
+        since: Point,
+    },
     Stopped,
 }
 
 /// How long clients may still arrive once the process was told to leave.
 const ARRIVALS: Span = Span::millis(450);
 
+/// How long a client that has its answer, and doesn't read it, is waited for.
+const LINGER: Span = Span::millis(1000);
+
+#[derive(Default)]
 pub struct Phases {
     phase: Phase,
 }
@@ -28,22 +35,18 @@
     pub listening: bool,
     pub listener_closed: bool,
     pub open_clients: usize,
+    pub open_statements: usize,
 }
 
 impl Phases {
-    pub fn new() -> Phases {
-        Phases {
-            phase: Phase::Starting,
-        }
-    }
-
     /// Goes one phase on, if it is time for that.
     pub fn advance(&mut self, now: Point, seen: &Seen) -> Option<Phase> {
         let next = match self.phase {
             Phase::Starting if seen.listening => Phase::Serving,
             Phase::Serving if seen.told_to_leave => Phase::Leaving { since: now },
-            Phase::Leaving { since } if now - since >= ARRIVALS => Phase::Draining,
-            Phase::Draining if seen.listener_closed && seen.open_clients == 0 => Phase::Stopped,
+            Phase::Leaving { since } if now - since >= ARRIVALS => Phase::Draining { since: now },
+            Phase::Draining { .. } if seen.listener_closed && seen.open_clients == 0 => Phase::Stopped,
+            Phase::Draining { since } if seen.open_statements == 0 && now - since >= LINGER => Phase::Stopped,
             _ => return None,
         };
         self.phase = next;
@@ -51,9 +54,10 @@
     }
 
     /// When time alone takes it on.
-    pub fn next_at(&self) -> Point {
+    pub fn next_at(&self, now: Point) -> Point {
         match self.phase {
             Phase::Leaving { since } => since + ARRIVALS,
+            Phase::Draining { since } if now < since + LINGER => since + LINGER,
             _ => Point(u64::MAX),
         }
     }
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -5,43 +5,43 @@
 use super::log::{log, Log};
 use super::phases::{Phase, Phases, Seen};
 use super::signals;
+use crate::protocol::execution::Executions;
 use crate::protocol::session::Session;
+use crate::protocol::watch::Watch;
 use crate::routing::owner::{Owner, Place};
 use crate::routing::queue::{Input, Notice};
 use crate::transport::clock::Clock;
-use crate::transport::listener;
+use crate::transport::{self, listener, stream};
 use asterlatch::time::Point;
 use std::sync::mpsc::channel;
 
 pub fn serve(config: Config) -> Result<(), String> {
-    // One worker, not bound to a core: several drivers may share a machine, and the first core would be
-    // everybody's.
-    may::config().set_workers(1).set_worker_pin(false);
+    transport::start();
     let clock = Clock::start();
     let (queue, inputs) = channel();
     signals::forward(queue.clone()).map_err(|e| format!("signals: {e}"))?;
+    let (to_members, to_discovery, discovery) = (queue.clone(), queue.clone(), config.discovery);
     let place = Place {
-        discovery: config.discovery,
+        members: Box::new(move |id, address| {
+            stream::dial::<_, Input>(address, Executions::new(id), &to_members, clock)
+        }),
+        discovery: Box::new(move |call| {
+            let watch = Watch::new(call.number, discovery.to_string(), call.wait_ms, call.after);
+            stream::dial::<_, Input>(discovery, watch, &to_discovery, clock)
+        }),
         sockets: config.sockets,
         memory: config.memory,
     };
-    let mut owner = Owner::new(
-        config.settings,
-        config.seed,
-        place,
-        clock,
-        queue.clone(),
-        Log::default(),
-    );
+    let mut owner = Owner::new(config.settings, config.seed, place, clock.now(), Log::default());
     if let Some(known) = &config.known {
         owner.learn_roster(clock.now(), known);
     }
     let listening = listener::listen::<_, Input>(config.listen, queue, clock, Session::new);
     let listening = listening.map_err(|e| format!("{}: {e}", config.listen))?;
     owner.attach(listening);
-    let mut phases = Phases::new();
+    let mut phases = Phases::default();
     let (mut told_to_leave, name) = (false, config.name);
-    owner.run(&inputs, |owner, now| {
+    owner.run(&inputs, clock, |owner, now| {
         for notice in std::mem::take(&mut owner.notices) {
             match notice {
                 Notice::Leave => told_to_leave = true,
@@ -50,19 +50,20 @@
         }
         let seen = Seen {
             told_to_leave,
-            listening: true,
+            listening: owner.is_listening(),
             listener_closed: owner.listener_closed,
             open_clients: owner.open_clients(),
+            open_statements: owner.open_statements(),
         };
         while let Some(phase) = phases.advance(now, &seen) {
             log!(owner.observer, now, "phase", "{name} is {phase:?}");
             match phase {
-                Phase::Draining => owner.send_clients_away(),
+                Phase::Draining { .. } => owner.send_clients_away(),
                 Phase::Stopped => return None,
                 _ => {}
             }
         }
-        Some(phases.next_at())
+        Some(phases.next_at(now))
     });
     report(&mut owner, clock.now());
     Ok(())
--- a/crates/driver/src/protocol/execution.rs
+++ b/crates/driver/src/protocol/execution.rs
@@ -241,15 +241,3 @@
         self.state != State::Over && unused <= messages::REPLY + 5
     }
 }
-
-/// The value in the messages of a row.
-pub fn value(rows: &[u8]) -> Option<&[u8]> {
-    let mut rest = rows;
-    while let Front::Message { kind, body, whole } = messages::front(rest, messages::REPLY) {
-        if kind == b'D' {
-            return messages::only_value(body).flatten();
-        }
-        rest = &rest[whole..];
-    }
-    None
-}
--- a/crates/driver/src/protocol/messages.rs
+++ b/crates/driver/src/protocol/messages.rs
@@ -143,6 +143,26 @@
     }
 }
 
+/// The value in the messages of a row.
+pub fn row_value(rows: &[u8]) -> Option<&[u8]> {
+    let mut rest = rows;
+    while let Front::Message { kind, body, whole } = front(rest, REPLY) {
+        if kind == b'D' {
+            return only_value(body).flatten();
+        }
+        rest = &rest[whole..];
+    }
+    None
+}
+
+/// The query of a probe: for a report where the settings promise one.
+pub fn probe(reported: bool) -> Vec<u8> {
+    let text: &[u8] = if reported { b"SHOW vitals" } else { b"SELECT 1" };
+    let mut query = Vec::new();
+    put_query(&mut query, text);
+    query
+}
+
 pub const VERSION: u32 = 3 << 16;
 const CANCEL: u32 = 80_877_102;
 const ENCRYPTED: [u32; 2] = [80_877_103, 80_877_104];
--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -40,6 +40,9 @@
     Refuse,
 }
 
+/// Bytes that a client may have sent ahead of its answer before it isn't read any further.
+const AHEAD: usize = 4096;
+
 #[derive(Clone, Copy, PartialEq)]
 enum State {
     Opening,
@@ -235,8 +238,13 @@
         out.notices.push(Heard::Gone { client: self.client });
     }
 
-    /// While a statement is out, what the client sends ahead stays with the kernel beyond one query.
+    /// While a statement is out only the client's leaving is of interest: what it sends ahead stays with the
+    /// kernel, not in this process.
     fn hungry(&self, unused: usize) -> bool {
-        self.state != State::Over && unused <= messages::QUERY
+        match self.state {
+            State::Opening | State::Between => unused <= messages::QUERY + 5,
+            State::Out => unused <= AHEAD,
+            State::Over => false,
+        }
     }
 }
--- a/crates/driver/src/protocol/vitals.rs
+++ b/crates/driver/src/protocol/vitals.rs
@@ -15,13 +15,13 @@
     }
 }
 
-/// A position, which is a Unix time in whole milliseconds.
+/// A Unix time in whole milliseconds; zero stands for none.
+pub fn unix(ms: u64) -> Option<Point> {
+    (ms > 0 && ms < u64::MAX / 1000).then(|| Point(0) + Span::millis(ms))
+}
+
 pub fn position(text: &str) -> Option<Point> {
-    let ms = text
-        .parse::<u64>()
-        .ok()
-        .filter(|ms| *ms > 0 && *ms < u64::MAX / 1000);
-    ms.map(|ms| Point(0) + Span::millis(ms))
+    text.parse().ok().and_then(unix)
 }
 
 /// What a report's text holds: its position is in seconds there, and is rounded down, for no member may seem
--- a/crates/driver/src/protocol/watch.rs
+++ b/crates/driver/src/protocol/watch.rs
@@ -13,7 +13,14 @@
     Down,
 }
 
+/// What the call with this number heard.
+pub struct News {
+    pub call: u32,
+    pub heard: Heard,
+}
+
 pub struct Watch {
+    call: u32,
     host: String,
     wait_ms: u64,
     /// The version after which news are wanted.
@@ -22,8 +29,9 @@
 }
 
 impl Watch {
-    pub fn new(host: String, wait_ms: u64, after: Option<u64>) -> Watch {
+    pub fn new(call: u32, host: String, wait_ms: u64, after: Option<u64>) -> Watch {
         Watch {
+            call,
             host,
             wait_ms,
             after,
@@ -31,7 +39,12 @@
         }
     }
 
-    fn ask(&self, out: &mut Outbox<Heard>) {
+    fn news(&self, heard: Heard) -> News {
+        let call = self.call;
+        News { call, heard }
+    }
+
+    fn ask(&self, out: &mut Outbox<News>) {
         const LIST: &str = "/registry/instances";
         let path = match self.after {
             Some(index) => format!("{LIST}?after={index}&wait_ms={}", self.wait_ms),
@@ -40,8 +53,8 @@
         out.bytes.extend(http::get(&path, &self.host));
     }
 
-    fn fail(&mut self, out: &mut Outbox<Heard>) {
-        out.notices.push(Heard::Unreadable);
+    fn fail(&mut self, out: &mut Outbox<News>) {
+        out.notices.push(self.news(Heard::Unreadable));
         self.over = true;
         out.close = true;
     }
@@ -50,13 +63,13 @@
 impl Dialogue for Watch {
     /// It is only ever hung up on.
     type Command = std::convert::Infallible;
-    type Notice = Heard;
+    type Notice = News;
 
-    fn opened(&mut self, out: &mut Outbox<Heard>) {
+    fn opened(&mut self, out: &mut Outbox<News>) {
         self.ask(out);
     }
 
-    fn heard(&mut self, input: &mut Vec<u8>, _at: Point, out: &mut Outbox<Heard>) {
+    fn heard(&mut self, input: &mut Vec<u8>, _at: Point, out: &mut Outbox<News>) {
         while !self.over && !input.is_empty() {
             let (status, body, taken, keep) = match http::answer(input) {
                 Answer::Partial => return,
@@ -73,7 +86,7 @@
                 return self.fail(out);
             };
             self.after = Some(told.index);
-            out.notices.push(Heard::Told(told));
+            out.notices.push(self.news(Heard::Told(told)));
             if keep {
                 self.ask(out);
             } else {
@@ -83,12 +96,12 @@
         }
     }
 
-    fn told(&mut self, command: Self::Command, _at: Point, _out: &mut Outbox<Heard>) {
+    fn told(&mut self, command: Self::Command, _at: Point, _out: &mut Outbox<News>) {
         match command {}
     }
 
-    fn ended(&mut self, _at: Point, out: &mut Outbox<Heard>) {
-        out.notices.push(Heard::Down);
+    fn ended(&mut self, _at: Point, out: &mut Outbox<News>) {
+        out.notices.push(self.news(Heard::Down));
     }
 
     fn hungry(&self, unused: usize) -> bool {
--- /dev/null
+++ b/crates/driver/src/routing/errands.rs
@@ -0,0 +1,180 @@
+//! What members' connections are busy with: executions and probes, each with the time at which it ends.
+
+use super::endings;
+use crate::protocol::execution::Run;
+use crate::transport::pool::Pool;
+use crate::transport::stream::Line;
+use asterlatch::interface::Ending;
+use asterlatch::time::{Point, Span};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    Execution { stmt: u32, number: u8 },
+    Probe,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Errand {
+    pub kind: Kind,
+    pub member: u32,
+    pub sent: Point,
+    pub until: Point,
+    /// The connection stood before.
+    pub reused: bool,
+    /// When to stop waiting: for the connection first, then for the answer.
+    ends: Point,
+    up: bool,
+}
+
+impl Errand {
+    pub fn new(kind: Kind, member: u32, sent: Point, until: Point) -> Errand {
+        Errand {
+            kind,
+            member,
+            sent,
+            until,
+            reused: true,
+            ends: until,
+            up: true,
+        }
+    }
+}
+
+/// Opens a connection under this number.
+pub type Dial = Box<dyn FnMut(u32, SocketAddr) -> io::Result<Line<Run>>>;
+
+pub struct Errands {
+    pool: Pool<Run>,
+    dial: Dial,
+    busy: BTreeMap<u32, Errand>,
+    running: BTreeMap<(u32, u8), u32>,
+    ends: BTreeSet<(Point, u32)>,
+    connect_timeout: Span,
+    idle: Span,
+    most: usize,
+}
+
+/// Share of the settings' idle time after which a connection is no longer used: what is written to one that its
+/// machine has closed ends as a loss.
+const IDLE_SHARE: f64 = 0.85;
+/// Linux's errors for want of descriptors, which say nothing of the member.
+const NO_DESCRIPTOR: [i32; 2] = [23, 24];
+
+impl Errands {
+    pub fn new(dial: Dial, connect_timeout: Span, idle: Span, most: usize) -> Errands {
+        Errands {
+            pool: Pool::default(),
+            dial,
+            busy: BTreeMap::new(),
+            running: BTreeMap::new(),
+            ends: BTreeSet::new(),
+            connect_timeout,
+            idle: idle * IDLE_SHARE,
+            most,
+        }
+    }
+
+    pub fn connections(&self) -> usize {
+        self.pool.count()
+    }
+
+    /// Sends on an idle connection, else on a new one; or says how that ended at once.
+    pub fn start(
+        &mut self,
+        now: Point,
+        errand: Errand,
+        address: SocketAddr,
+        query: Vec<u8>,
+    ) -> Result<bool, Ending> {
+        let mut errand = errand;
+        let connection = match self.pool.take(errand.member, address) {
+            Some(id) => id,
+            None => {
+                errand.reused = false;
+                errand.up = false;
+                errand.ends = errand.until.min(now + self.connect_timeout);
+                self.open(errand.member, address)?
+            }
+        };
+        if let Kind::Execution { stmt, number } = errand.kind {
+            self.running.insert((stmt, number), connection);
+        }
+        self.pool.tell(connection, Run(query));
+        self.ends.insert((errand.ends, connection));
+        self.busy.insert(connection, errand);
+        Ok(!errand.reused)
+    }
+
+    fn open(&mut self, member: u32, address: SocketAddr) -> Result<u32, Ending> {
+        if self.pool.count() >= self.most {
+            let (_, oldest) = self.pool.oldest_idle().ok_or(Ending::NeverSent)?;
+            self.pool.remove(oldest);
+        }
+        let id = self.pool.next_id();
+        let line = (self.dial)(id, address).map_err(|e| match e.raw_os_error() {
+            Some(code) if NO_DESCRIPTOR.contains(&code) => Ending::NeverSent,
+            _ => Ending::NoConnection,
+        })?;
+        self.pool.add(id, member, address, line);
+        Ok(id)
+    }
+
+    /// The connection stands: from now on its answer is waited for.
+    pub fn up(&mut self, connection: u32) {
+        let Some(errand) = self.busy.get_mut(&connection) else {
+            return;
+        };
+        self.ends.remove(&(errand.ends, connection));
+        errand.up = true;
+        errand.ends = errand.until;
+        self.ends.insert((errand.ends, connection));
+    }
+
+    fn finish(&mut self, connection: u32) -> Option<Errand> {
+        let errand = self.busy.remove(&connection)?;
+        self.ends.remove(&(errand.ends, connection));
+        if let Kind::Execution { stmt, number } = errand.kind {
+            self.running.remove(&(stmt, number));
+        }
+        Some(errand)
+    }
+
+    /// Its answer has come, whole: the connection may serve again. What comes for one that was given up belongs
+    /// to no errand.
+    pub fn answered(&mut self, connection: u32, now: Point) -> Option<Errand> {
+        let errand = self.finish(connection)?;
+        self.pool.give_back(connection, now);
+        Some(errand)
+    }
+
+    /// Ends the connection, which is never used again.
+    pub fn end(&mut self, connection: u32) -> Option<Errand> {
+        self.pool.remove(connection);
+        self.finish(connection)
+    }
+
+    pub fn cancel(&mut self, stmt: u32, number: u8) -> Option<Errand> {
+        let connection = *self.running.get(&(stmt, number))?;
+        self.end(connection)
+    }
+
+    /// The first that has been waited for long enough, and how it ended.
+    pub fn overdue(&mut self, now: Point) -> Option<(Errand, Ending)> {
+        let (_, connection) = self.ends.first().copied().filter(|(at, _)| *at <= now)?;
+        let errand = self.end(connection)?;
+        Some((errand, endings::of_time(errand.up)))
+    }
+
+    pub fn end_idle(&mut self, now: Point) {
+        self.pool.end_idle_before(now, self.idle);
+    }
+
+    pub fn next_at(&self) -> Option<Point> {
+        let end = self.ends.first().map(|(at, _)| *at);
+        let idle = self.pool.oldest_idle().map(|(since, _)| since + self.idle);
+        end.into_iter().chain(idle).min()
+    }
+}
--- a/crates/driver/src/routing/mod.rs
+++ b/crates/driver/src/routing/mod.rs
@@ -1,7 +1,11 @@
 //! The one owner of the decision module: inputs come through a queue, commands go out to connections.
 
+pub mod calls;
+pub mod clients;
 pub mod endings;
+pub mod errands;
 pub mod figures;
 pub mod owner;
 pub mod queue;
+pub mod statements;
 pub mod tables;
--- a/crates/driver/src/routing/queue.rs
+++ b/crates/driver/src/routing/queue.rs
@@ -14,7 +14,8 @@
     Arrival(Arrival<session::Say>),
     Client(session::Heard),
     Member(execution::Heard),
-    Discovery(watch::Heard),
+    /// News of the call with this number.
+    Discovery(u32, watch::Heard),
     Notice(Notice),
 }
 
@@ -31,5 +32,10 @@
     Arrival<session::Say> => Arrival,
     session::Heard => Client,
     execution::Heard => Member,
-    watch::Heard => Discovery,
+}
+
+impl From<watch::News> for Input {
+    fn from(news: watch::News) -> Input {
+        Input::Discovery(news.call, news.heard)
+    }
 }
--- /dev/null
+++ b/crates/driver/src/routing/statements.rs
@@ -0,0 +1,88 @@
+//! Statements that have no final answer yet, with the bytes that came.
+
+use crate::protocol::comment::{self, Marked};
+use crate::protocol::messages;
+use asterlatch::time::{Point, Span};
+use std::collections::BTreeMap;
+use std::ops::Range;
+
+struct Held {
+    client: u32,
+    text: Vec<u8>,
+    left_at: Range<usize>,
+    deadline: Point,
+    executions: u8,
+}
+
+/// A client's wait is never taken for longer.
+const LONGEST_WAIT_MS: u64 = 86_400_000;
+
+pub struct Statements {
+    held: BTreeMap<u32, Held>,
+    next: u32,
+    bytes: usize,
+    most_bytes: usize,
+}
+
+impl Statements {
+    pub fn new(most_bytes: usize) -> Statements {
+        Statements {
+            held: BTreeMap::new(),
+            next: 0,
+            bytes: 0,
+            most_bytes,
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.held.len()
+    }
+
+    pub fn holds(&self, id: u32) -> bool {
+        self.held.contains_key(&id)
+    }
+
+    pub fn has_room(&self, text: &[u8]) -> bool {
+        self.bytes + text.len() <= self.most_bytes
+    }
+
+    /// Holds a statement that came at `at`, and gives it an id and a deadline.
+    pub fn hold(&mut self, client: u32, text: Vec<u8>, marked: &Marked, at: Point) -> (u32, Point) {
+        self.next += 1;
+        self.bytes += text.len();
+        let deadline = at + Span::millis(marked.left_ms.min(LONGEST_WAIT_MS));
+        let held = Held {
+            client,
+            text,
+            left_at: marked.left_at.clone(),
+            deadline,
+            executions: 0,
+        };
+        self.held.insert(self.next, held);
+        (self.next, deadline)
+    }
+
+    /// Lets go of one that has its final answer, or needs none; says whose it was.
+    pub fn release(&mut self, id: u32) -> Option<u32> {
+        let held = self.held.remove(&id)?;
+        self.bytes -= held.text.len();
+        Some(held.client)
+    }
+
+    /// The number of its next execution, and until when that may be waited for.
+    pub fn execute(&mut self, id: u32, until: Point) -> Option<(u8, Point)> {
+        let held = self.held.get_mut(&id)?;
+        held.executions += 1;
+        Some((held.executions - 1, until.min(held.deadline)))
+    }
+
+    /// What goes to a member that is waited for until then. Rounded down, so that no member works for longer
+    /// than anybody waits.
+    pub fn query(&self, id: u32, now: Point, until: Point) -> Option<Vec<u8>> {
+        let held = self.held.get(&id)?;
+        let text = comment::with_left(&held.text, &held.left_at, (until - now).0 / 1000);
+        let mut query = Vec::with_capacity(text.len() + 8);
+        messages::put_query(&mut query, &text);
+        Some(query)
+    }
+}
--- a/crates/driver/src/routing/tables.rs
+++ b/crates/driver/src/routing/tables.rs
@@ -1,8 +1,8 @@
 //! Names as small ids: members, zones and workloads as the module knows them. Ids last as long as the process.
 
 use crate::protocol::roster::{Entry, Status};
+use crate::protocol::vitals;
 use asterlatch::interface::{MemberEntry, Standing};
-use asterlatch::time::{Point, Span};
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
@@ -81,7 +81,7 @@
             },
             named_primary: e.is_primary,
             size: e.weight,
-            started: (e.since_ms > 0).then(|| Point(0) + Span::millis(e.since_ms.min(u64::MAX / 1000))),
+            started: vitals::unix(e.since_ms),
         })
     }
 }
--- a/crates/driver/src/transport/listener.rs
+++ b/crates/driver/src/transport/listener.rs
@@ -2,8 +2,7 @@
 //! closes connections that sit idle instead.
 
 use super::clock::Clock;
-use super::stream::{self, Dialogue, Line, STACK};
-use may::coroutine::Builder;
+use super::stream::{self, Dialogue, Line};
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener};
@@ -77,6 +76,6 @@
             }
         }
     };
-    may::go!(Builder::new().stack_size(STACK / size_of::<usize>()), accept_all)?;
+    may::go!(accept_all);
     Ok(listening)
 }
--- a/crates/driver/src/transport/pool.rs
+++ b/crates/driver/src/transport/pool.rs
@@ -82,7 +82,7 @@
         }
     }
 
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.held.len()
     }
 
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -3,15 +3,12 @@
 
 use super::clock::Clock;
 use asterlatch::time::Point;
-use may::coroutine::Builder;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
 
-/// Bytes of coroutine stack. Buffers live on the heap, for an overflow kills the process.
-pub const STACK: usize = 64 * 1024;
 /// Read at once, so that one busy peer doesn't keep the others waiting.
 const CHUNK: usize = 16 * 1024;
 
@@ -22,6 +19,16 @@
     pub close: bool,
 }
 
+impl<N> Default for Outbox<N> {
+    fn default() -> Self {
+        Outbox {
+            bytes: Vec::new(),
+            notices: Vec::new(),
+            close: false,
+        }
+    }
+}
+
 /// What is spoken on a connection, as a function of what comes in.
 pub trait Dialogue: Send + 'static {
     type Command: Send + 'static;
@@ -42,14 +49,29 @@
 /// The owner's end of a connection, which ends when this is dropped.
 pub struct Line<C> {
     commands: Option<Sender<C>>,
-    waker: WaitIoWaker,
+    /// None where nothing but the commands is wanted, for there is no socket behind it.
+    waker: Option<WaitIoWaker>,
 }
 
 impl<C> Line<C> {
+    /// A line to whoever takes the commands itself.
+    pub fn to(commands: Sender<C>) -> Line<C> {
+        Line {
+            commands: Some(commands),
+            waker: None,
+        }
+    }
+
+    fn wake(&self) {
+        if let Some(waker) = &self.waker {
+            waker.wakeup();
+        }
+    }
+
     /// A command to a connection that has ended is lost, which is harmless: its end has been told.
     pub fn tell(&self, command: C) {
         if self.commands.as_ref().is_some_and(|c| c.send(command).is_ok()) {
-            self.waker.wakeup();
+            self.wake();
         }
     }
 }
@@ -57,7 +79,7 @@
 impl<C> Drop for Line<C> {
     fn drop(&mut self) {
         self.commands = None;
-        self.waker.wakeup();
+        self.wake();
     }
 }
 
@@ -145,6 +167,7 @@
     /// One look at everything. Reading goes before commands, so that what is written to a connection whose
     /// end already lies here is known never to have gone out.
     fn turn(&mut self) -> Flow {
+        let was_hungry = self.dialogue.hungry(self.input.len());
         let mut flow = if self.up { self.read() } else { self.connect() };
         while !matches!(flow, Flow::End) {
             match self.commands.try_recv() {
@@ -156,6 +179,10 @@
                 Err(TryRecvError::Disconnected) => flow = Flow::End,
             }
         }
+        // The kernel tells of bytes only once: those left with it are asked for as soon as they are wanted.
+        if !was_hungry && self.dialogue.hungry(self.input.len()) && matches!(flow, Flow::Wait) {
+            flow = Flow::Again;
+        }
         if self.up && !matches!(flow, Flow::End) && matches!(self.write(), Flow::End) {
             flow = Flow::End;
         }
@@ -218,11 +245,7 @@
     let io = CoIo::new(stream).map_err(|_| io::Error::other("not registered with the event loop"))?;
     let (sender, commands) = channel();
     let waker = io.waker();
-    let mut out = Outbox {
-        bytes: Vec::new(),
-        notices: Vec::new(),
-        close: false,
-    };
+    let mut out = Outbox::default();
     if up {
         dialogue.opened(&mut out);
     }
@@ -241,10 +264,9 @@
     // The owner must know the line before the first news from it.
     announce(Line {
         commands: Some(sender),
-        waker,
+        waker: Some(waker),
     });
-    let builder = Builder::new().stack_size(STACK / size_of::<usize>());
-    may::go!(builder, move || connection.run())?;
+    may::go!(move || connection.run());
     Ok(())
 }
 
--- /dev/null
+++ b/crates/driver/tests/program.rs
@@ -0,0 +1,420 @@
+//! The built program against small stand-ins that speak the public protocols on loopback.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Long enough for the busiest machine; nothing here waits for it to pass.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
+}
+
+fn read_message(stream: &mut TcpStream) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).ok()?;
+    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    let mut body = vec![0; length - 4];
+    stream.read_exact(&mut body).ok()?;
+    Some((head[0], body))
+}
+
+/// Each at an address of its own, so that no port is anybody else's once it is let go.
+fn listener() -> (TcpListener, SocketAddr) {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let host = format!(
+        "127.{}.{}.{n}:0",
+        10 + std::process::id() % 200,
+        std::process::id() / 200 % 250
+    );
+    let listener = TcpListener::bind(host).expect("a port is free");
+    let address = listener.local_addr().expect("is bound");
+    (listener, address)
+}
+
+/// What a member does with a statement.
+#[derive(Clone, Copy, PartialEq)]
+enum Manner {
+    Answers,
+    Closes,
+    /// Answers when the test says so.
+    Waits,
+}
+
+/// A member that answers each probe as a primary would. Tells which statements came, and when a connection with
+/// a statement on it was ended by the other side.
+struct Member {
+    address: SocketAddr,
+    came: Receiver<String>,
+    go: Sender<()>,
+}
+
+fn member(manner: Manner) -> Member {
+    let (listener, address) = listener();
+    let (tell, came) = channel();
+    let (go, wait) = channel();
+    let wait = Arc::new(std::sync::Mutex::new(wait));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (tell, wait) = (tell.clone(), wait.clone());
+            thread::spawn(move || speak(stream, manner, &tell, &wait));
+        }
+    });
+    Member { address, came, go }
+}
+
+fn speak(
+    mut stream: TcpStream,
+    manner: Manner,
+    tell: &Sender<String>,
+    wait: &std::sync::Mutex<Receiver<()>>,
+) -> Option<()> {
+    let mut head = [0; 4];
+    stream.read_exact(&mut head).ok()?;
+    let mut startup = vec![0; u32::from_be_bytes(head) as usize - 4];
+    stream.read_exact(&mut startup).ok()?;
+    let ready = message(b'Z', b"I");
+    stream
+        .write_all(&[message(b'R', &[0; 4]), ready.clone()].concat())
+        .ok()?;
+    loop {
+        let (_, body) = read_message(&mut stream)?;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let value: &[u8] = if text.starts_with("SHOW") {
+            b"x0=1,x1=1"
+        } else {
+            b"\x00value"
+        };
+        if !text.starts_with("SHOW") {
+            let _ = tell.send(text);
+            match manner {
+                Manner::Answers => {}
+                Manner::Closes => return None,
+                Manner::Waits => {
+                    stream.set_read_timeout(Some(Duration::from_millis(5))).ok()?;
+                    while wait.lock().ok()?.try_recv().is_err() {
+                        match stream.read(&mut [0]) {
+                            Ok(0) => return tell.send("ended".to_owned()).ok(),
+                            Err(e) if e.kind() != ErrorKind::WouldBlock => {
+                                return tell.send("ended".to_owned()).ok()
+                            }
+                            _ => {}
+                        }
+                    }
+                    stream.set_read_timeout(None).ok()?;
+                }
+            }
+        }
+        let described = [
+            &1u16.to_be_bytes()[..],
+            b"blob\0",
+            &[0; 6],
+            &[0, 0, 0, 17],
+            &[0xff; 6],
+            &[0, 1],
+        ]
+        .concat();
+        let row = [
+            &1u16.to_be_bytes()[..],
+            &(value.len() as u32).to_be_bytes(),
+            value,
+        ]
+        .concat();
+        let rank = message(b'S', b"rank\0source\0");
+        let answer = [
+            message(b'T', &described),
+            message(b'D', &row),
+            message(b'C', b"SELECT 1\0"),
+            rank,
+            ready.clone(),
+        ];
+        stream.write_all(&answer.concat()).ok()?;
+    }
+}
+
+/// Discovery that stays silent, as it does while it is down: the list that the driver knows must do.
+fn silent_discovery() -> SocketAddr {
+    let (listener, address) = listener();
+    thread::spawn(move || listener.incoming().collect::<Vec<_>>());
+    address
+}
+
+fn config(name: &str, text: &str) -> PathBuf {
+    let file = format!("asterlatch-{}-{name}.json", std::process::id());
+    let path = std::env::temp_dir().join(file);
+    std::fs::write(&path, text).expect("temporary files can be written");
+    path
+}
+
+fn program(command: &str, path: &PathBuf) -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_asterlatch"));
+    program
+        .arg(command)
+        .arg("--config")
+        .arg(path)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONFIG"]
+        .iter()
+        .for_each(|v| {
+            program.env_remove(v);
+        });
+    program
+}
+
+fn described(listen: SocketAddr, discovery: SocketAddr, member: SocketAddr) -> String {
+    format!(
+        r#"{{"name":"t","listen":"{listen}","discovery":"{discovery}","seed":"7",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},
+        "known":{{"index":1,"snapshot":true,"endpoints":[{{"name":"m","address":"{member}","zone":"a","group":1,
+        "status":"SERVING","weight":1.0,"since_ms":0,"rank":"source"}}]}},
+        "settings":{{"categories":[
+        {{"name":"view","idempotency":"retryable","objective_us":20000000,"worth":1.0,"late_worth":1.0}},
+        {{"name":"post","idempotency":"fragile","objective_us":20000000,"worth":1.0,"late_worth":1.0}}],
+        "family_info":{{"freshness":["loose","update"]}},"limits":{{"cancel":true,"probes":true,"try_limit":3,
+        "connect_timeout_us":20000000,"conn_idle_us":90000000}},"report":{{"fields":["x0","x1"],"how":"on_probe"}},
+        "tick_us":5000,"zones":["a"]}}}}"#
+    )
+}
+
+struct Served {
+    child: Child,
+    listen: SocketAddr,
+    path: PathBuf,
+}
+
+/// Starts the program, and waits until it listens.
+fn serve(name: &str, member: SocketAddr) -> Served {
+    // Bound for a moment, so that the system picks the port.
+    let listen = listener().1;
+    let path = config(name, &described(listen, silent_discovery(), member));
+    let child = program("serve", &path).spawn().expect("starts");
+    let served = Served { child, listen, path };
+    let end = Instant::now() + PATIENCE;
+    while TcpStream::connect(listen).is_err() {
+        assert!(Instant::now() < end, "the program doesn't listen");
+        thread::sleep(Duration::from_millis(5));
+    }
+    served
+}
+
+impl Served {
+    fn signal(&self, name: &str) {
+        let command = format!("kill -{name} {}", self.child.id());
+        let sent = Command::new("sh").arg("-c").arg(command).status();
+        assert!(sent.is_ok_and(|s| s.success()));
+    }
+
+    /// Waits for its end; says whether that was a good one, and what it wrote.
+    fn finish(mut self) -> (bool, String) {
+        let mut log = String::new();
+        self.child
+            .stderr
+            .take()
+            .expect("piped")
+            .read_to_string(&mut log)
+            .expect("is text");
+        let good = self.child.wait().expect("ends").success();
+        let _ = std::fs::remove_file(&self.path);
+        (good, log)
+    }
+
+    fn client(&self) -> TcpStream {
+        let mut stream = TcpStream::connect(self.listen).expect("listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("is set");
+        let fields = b"user\0api\0database\0ledger\0\0";
+        let startup = [
+            &(fields.len() as u32 + 8).to_be_bytes()[..],
+            &(3u32 << 16).to_be_bytes(),
+            fields,
+        ]
+        .concat();
+        // The first query right behind, as clients may.
+        stream
+            .write_all(&[startup, message(b'Q', b"\0")].concat())
+            .expect("is written");
+        assert_eq!(answer(&mut stream).0, "Z");
+        assert_eq!(answer(&mut stream).0, "I Z");
+        stream
+    }
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+    }
+}
+
+/// The messages up to the next that says ready or to the end: kinds, errors with their code, and the row.
+fn answer(stream: &mut TcpStream) -> (String, Vec<u8>) {
+    let (mut said, mut row) = (Vec::new(), Vec::new());
+    while let Some((kind, body)) = read_message(stream) {
+        match kind {
+            b'S' | b'R' => {}
+            b'E' => {
+                let code = body.split(|b| *b == 0).find(|f| f.first() == Some(&b'C'));
+                said.push(format!(
+                    "E{}",
+                    String::from_utf8_lossy(&code.expect("has a code")[1..])
+                ));
+            }
+            kind => said.push((kind as char).to_string()),
+        }
+        if kind == b'D' {
+            row = body[6..].to_vec();
+        }
+        if kind == b'Z' {
+            break;
+        }
+    }
+    (said.join(" "), row)
+}
+
+fn ask(stream: &mut TcpStream, class: &str) -> String {
+    let text =
+        format!("/* id=1f,c={class},d=25000,cluster=1,k=7 */ SELECT blob FROM rows WHERE handle = 'x'");
+    stream
+        .write_all(&message(b'Q', format!("{text}\0").as_bytes()))
+        .expect("is written");
+    text
+}
+
+#[test]
+fn a_served_read_and_the_counters() {
+    let member = member(Manner::Answers);
+    let mut served = serve("served", member.address);
+    let mut client = served.client();
+    for _ in 0..3 {
+        let text = ask(&mut client, "view");
+        assert_eq!(answer(&mut client), ("T D C Z".to_owned(), b"\x00value".to_vec()));
+        let came = member.came.recv_timeout(PATIENCE).expect("came");
+        // All but the time left passes unchanged.
+        let (head, tail) = text.split_once("d=25000").expect("has a time");
+        assert!(
+            came.starts_with(head) && came.trim_end_matches('\0').ends_with(tail),
+            "{came}"
+        );
+    }
+    served.signal("USR1");
+    let mut lines = BufReader::new(served.child.stderr.as_mut().expect("piped")).lines();
+    let counters = lines
+        .find_map(|l| l.ok().filter(|l| l.contains("counters")))
+        .expect("a line of counters");
+    assert!(
+        counters.contains(" completed=3 ") && counters.contains(" open_clients="),
+        "{counters}"
+    );
+    client.write_all(&message(b'P', b"\0\0")).expect("is written");
+    assert_eq!(answer(&mut client).0, "E08P01", "and the connection is closed");
+}
+
+#[test]
+fn a_member_that_closes_early_fails_a_write_once() {
+    let member = member(Manner::Closes);
+    let served = serve("closes", member.address);
+    let mut client = served.client();
+    ask(&mut client, "post");
+    assert_eq!(answer(&mut client).0, "E40003 Z");
+    member.came.recv_timeout(PATIENCE).expect("came once");
+    ask(&mut client, "view");
+    // Idempotent: may be tried again, and is rejected in the end.
+    assert_eq!(answer(&mut client).0, "E53300 Z");
+    assert!(
+        member.came.try_iter().all(|text| text.contains("c=view")),
+        "the write came a second time"
+    );
+}
+
+#[test]
+fn a_client_that_leaves_has_its_execution_called_off() {
+    let member = member(Manner::Waits);
+    let served = serve("leaves", member.address);
+    let mut client = served.client();
+    ask(&mut client, "view");
+    assert!(member
+        .came
+        .recv_timeout(PATIENCE)
+        .expect("came")
+        .contains("c=view"));
+    drop(client);
+    assert_eq!(member.came.recv_timeout(PATIENCE).expect("is told"), "ended");
+}
+
+#[test]
+fn what_was_taken_is_answered_before_the_program_leaves() {
+    let member = member(Manner::Waits);
+    let served = serve("sigterm", member.address);
+    let (mut client, mut idle) = (served.client(), served.client());
+    ask(&mut client, "post");
+    assert!(member
+        .came
+        .recv_timeout(PATIENCE)
+        .expect("came")
+        .contains("c=post"));
+    served.signal("TERM");
+    // The idle one is let go without a word, which also shows that the program has begun to drain.
+    assert_eq!(answer(&mut idle).0, "");
+    member.go.send(()).expect("waits");
+    assert_eq!(answer(&mut client), ("T D C Z".to_owned(), b"\x00value".to_vec()));
+    assert_eq!(answer(&mut client).0, "", "and then its connection is closed");
+    let (good, log) = served.finish();
+    assert!(
+        good && log.contains("Stopped") && log.contains(" completed=1 "),
+        "{log}"
+    );
+}
+
+#[test]
+fn what_cannot_be_served_is_said_in_one_line() {
+    let (taken, address) = listener();
+    let free = listener().1;
+    let good = described(free, free, free);
+    let cases = [
+        ("no file", None, "No such file"),
+        ("no JSON", Some("{".to_owned()), "EOF"),
+        (
+            "no settings",
+            Some(r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1"}"#.to_owned()),
+            "settings",
+        ),
+        ("no class", Some(good.replace("categories", "other")), "no class"),
+        (
+            "no address",
+            Some(good.replacen(&free.to_string(), "nowhere", 1)),
+            "listen",
+        ),
+        (
+            "an address in use",
+            Some(good.replacen(&free.to_string(), &address.to_string(), 1)),
+            "in use",
+        ),
+    ];
+    for (n, (name, text, named)) in cases.into_iter().enumerate() {
+        let path = match &text {
+            Some(text) => config(&format!("bad{n}"), text),
+            None => PathBuf::from("/nonexistent/config.json"),
+        };
+        for command in ["serve", "check"] {
+            let Output { status, stderr, .. } = program(command, &path).output().expect("ends");
+            let said = String::from_utf8_lossy(&stderr).into_owned();
+            assert!(
+                !status.success() && said.lines().count() == 1 && said.contains(named),
+                "{name}: {said}"
+            );
+        }
+        let _ = std::fs::remove_file(&path);
+    }
+    drop(taken);
+    let path = config("good", &good);
+    let Output { status, stdout, .. } = program("check", &path).output().expect("ends");
+    let _ = std::fs::remove_file(&path);
+    assert!(status.success() && String::from_utf8_lossy(&stdout).contains("2 classes, 1 members"));
+}
--- /dev/null
+++ b/crates/driver/tests/protocol.rs
@@ -0,0 +1,553 @@
+//! What is spoken, as tables of bytes: each input is given whole, and again byte by byte.
+
+use asterlatch::interface::Sighting;
+use asterlatch::time::{Point, Span};
+use asterlatch_driver::protocol::comment::{self, Marked};
+use asterlatch_driver::protocol::execution::{self, Executions, Reply, Run};
+use asterlatch_driver::protocol::http::{self, Answer};
+use asterlatch_driver::protocol::messages::{self, Front};
+use asterlatch_driver::protocol::roster::{self, Status};
+use asterlatch_driver::protocol::session::{self, Say, Session};
+use asterlatch_driver::protocol::{vitals, watch};
+use asterlatch_driver::transport::stream::{Dialogue, Outbox};
+
+const AT: Point = Point(1_000_000);
+
+fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::new();
+    messages::put(&mut out, kind, &[body]);
+    out
+}
+
+fn query(text: &str) -> Vec<u8> {
+    message(b'Q', format!("{text}\0").as_bytes())
+}
+
+/// A startup message of this version and these fields.
+fn startup(version: u32, fields: &[u8]) -> Vec<u8> {
+    let length = 8 + fields.len() as u32;
+    [&length.to_be_bytes()[..], &version.to_be_bytes(), fields].concat()
+}
+
+fn greeted() -> Vec<u8> {
+    startup(messages::VERSION, b"user\0api\0database\0ledger\0\0")
+}
+
+/// Kinds of the messages, errors with their code and detail; a letter that is no message stands alone.
+fn spoken(mut bytes: &[u8]) -> String {
+    let mut said = Vec::new();
+    while !bytes.is_empty() {
+        match messages::front(bytes, messages::QUERY) {
+            Front::Message {
+                kind: b'E',
+                body,
+                whole,
+            } => {
+                let field = |f| messages::error_field(body, f).unwrap_or_default();
+                said.push(format!("E{}{}", field(b'C'), field(b'D')));
+                bytes = &bytes[whole..];
+            }
+            Front::Message { kind, whole, .. } => {
+                said.push((kind as char).to_string());
+                bytes = &bytes[whole..];
+            }
+            _ => {
+                said.push(format!("{}!", bytes[0] as char));
+                bytes = &bytes[1..];
+            }
+        }
+    }
+    said.join(" ")
+}
+
+fn client_news(notices: &[session::Heard]) -> String {
+    let words = notices.iter().map(|n| match n {
+        session::Heard::Statement { text, .. } => format!("stmt({})", String::from_utf8_lossy(text)),
+        session::Heard::Idle { .. } => "idle".to_owned(),
+        session::Heard::Malformed => "malformed".to_owned(),
+        session::Heard::Oversized => "oversized".to_owned(),
+        session::Heard::Gone { .. } => "gone".to_owned(),
+    });
+    words.collect::<Vec<_>>().join(" ")
+}
+
+/// Gives the dialogue all at once, or byte by byte.
+fn hear<D: Dialogue>(dialogue: &mut D, bytes: &[u8], pieces: usize, out: &mut Outbox<D::Notice>) {
+    let mut input = Vec::new();
+    for piece in bytes.chunks(pieces) {
+        input.extend(piece);
+        dialogue.heard(&mut input, AT, out);
+    }
+}
+
+const WELCOME: &str = "R S S S S S S Z";
+
+#[test]
+fn clients_are_understood_however_their_bytes_come() {
+    let hello = greeted();
+    let after = |bytes: &[u8]| [&hello[..], bytes].concat();
+    let long = format!("/* x */ '{}'", "a".repeat(messages::QUERY));
+    let welcome = |more: &str| format!("{WELCOME}{more}");
+    #[rustfmt::skip]
+    let cases: Vec<(&str, Vec<u8>, String, &str, bool)> = vec![
+        ("startup", hello.clone(), welcome(""), "idle", false),
+        ("startup without fields", startup(messages::VERSION, b"\0"), welcome(""), "idle", false),
+        ("newer minor version", startup(messages::VERSION + 2, b"user\0a\0_pq_.x\0y\0\0"), format!("v {WELCOME}"), "idle", false),
+        ("encryption asked for", [&startup(80_877_103, b"")[..], &hello].concat(), format!("N! {WELCOME}"), "idle", false),
+        ("empty query", after(&query("")), welcome(" I Z"), "idle idle", false),
+        ("only a semicolon", after(&query(" ;\n")), welcome(" I Z"), "idle idle", false),
+        ("query right behind", after(&query("SELECT 7")), welcome(""), "idle stmt(SELECT 7)", false),
+        ("second waits for its turn", after(&[query("a"), query("b")].concat()), welcome(""), "idle stmt(a)", false),
+        ("terminate", after(&message(b'X', b"")), welcome(""), "idle", true),
+        ("cancel request", startup(80_877_102, &[0; 8]), String::new(), "", true),
+        ("older protocol", startup(2 << 16, b"user\0a\0\0"), "E08P01".into(), "malformed", true),
+        ("field without value", startup(messages::VERSION, b"user\0\0"), "E08P01".into(), "malformed", true),
+        ("startup of no length", vec![0, 0, 0, 7, 0, 3, 0, 0], "E08P01".into(), "malformed", true),
+        ("startup of absurd length", vec![0, 1, 0, 0, 0, 3, 0, 0], "E08P01".into(), "malformed", true),
+        ("not the protocol at all", b"GET / HTTP/1.1\r\n\r\n".to_vec(), "E08P01".into(), "malformed", true),
+        ("extended query", after(&message(b'P', b"\0\0")), welcome(" E08P01"), "idle malformed", true),
+        ("message of no length", after(&[b'Q', 0, 0, 0, 3, 0]), welcome(" E08P01"), "idle malformed", true),
+        ("length beyond all bounds", after(&[b'Q', 0x7f, 0, 0, 0, 0]), welcome(" E08P01"), "idle malformed", true),
+        ("text without an end", after(&message(b'Q', b"SELECT 1")), welcome(" E08P01"), "idle malformed", true),
+        ("text in no encoding", after(&message(b'Q', b"\xff\xfe\0")), welcome(" E08P01"), "idle malformed", true),
+        ("too large a statement", after(&[query(&long), query("b")].concat()), welcome(" E54000 Z"), "idle oversized stmt(b)", false),
+    ];
+    for (name, bytes, said, news, close) in &cases {
+        for pieces in [bytes.len(), 1] {
+            let (mut session, mut out) = (Session::new(1), Outbox::default());
+            hear(&mut session, bytes, pieces, &mut out);
+            assert_eq!(&spoken(&out.bytes), said, "{name}");
+            assert_eq!(
+                (&client_news(&out.notices)[..], out.close),
+                (*news, *close),
+                "{name}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_statement_gets_one_answer_and_order_is_kept() {
+    let (mut session, mut out, mut input) = (Session::new(1), Outbox::default(), Vec::new());
+    input.extend([greeted(), query("a"), query("b"), query("c")].concat());
+    session.heard(&mut input, AT, &mut out);
+    out.bytes.clear();
+    let hold = Say::Error {
+        code: "53300",
+        message: "m",
+        hold_off_ms: Some(250),
+    };
+    let fail = Say::Error {
+        code: "40003",
+        message: "m",
+        hold_off_ms: None,
+    };
+    let rows = [message(b'T', b"t"), message(b'D', b"d"), message(b'C', b"c")].concat();
+    let steps = [
+        (Say::Rows(rows.clone()), "T D C Z", false),
+        (hold, "E53300250 Z", false),
+        (Say::Leave, "", false),
+        (fail, "E40003 Z", true),
+        // The second answer to the third, and whatever else comes after the end.
+        (Say::Rows(rows.clone()), "", true),
+        (Say::Refuse, "", true),
+    ];
+    for (n, (say, said, close)) in steps.into_iter().enumerate() {
+        session.told(say, AT, &mut out);
+        session.heard(&mut input, AT, &mut out);
+        if n == 0 {
+            assert!(
+                out.bytes.starts_with(&rows),
+                "the bytes of the rows are those that came"
+            );
+        }
+        assert_eq!((&spoken(&out.bytes)[..], out.close), (said, close), "step {n}");
+        out.bytes.clear();
+    }
+    let news = client_news(&out.notices);
+    assert_eq!(news, "idle stmt(a) idle stmt(b) idle stmt(c) idle");
+}
+
+#[test]
+fn leaving_and_refusing_wait_for_nothing_that_is_not_out() {
+    for (before, say, said) in [
+        (Vec::new(), Say::Leave, ""),
+        (greeted(), Say::Leave, ""),
+        (Vec::new(), Say::Refuse, "E53300"),
+    ] {
+        let (mut session, mut out) = (Session::new(1), Outbox::default());
+        hear(&mut session, &before, 1000, &mut out);
+        out.bytes.clear();
+        session.told(say, AT, &mut out);
+        assert_eq!((&spoken(&out.bytes)[..], out.close), (said, true));
+        assert!(!session.hungry(0));
+    }
+}
+
+fn row(value: &[u8]) -> Vec<u8> {
+    let head = [&1u16.to_be_bytes()[..], &(value.len() as u32).to_be_bytes()].concat();
+    message(b'D', &[&head[..], value].concat())
+}
+
+fn described(columns: u16) -> Vec<u8> {
+    message(
+        b'T',
+        &[
+            &columns.to_be_bytes()[..],
+            &b"blob\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01".repeat(columns.into()),
+        ]
+        .concat(),
+    )
+}
+
+fn status(name: &str, value: &str) -> Vec<u8> {
+    message(b'S', format!("{name}\0{value}\0").as_bytes())
+}
+
+fn error(code: &str) -> Vec<u8> {
+    message(b'E', format!("SERROR\0C{code}\0Mwhy\0\0").as_bytes())
+}
+
+fn member_news(notices: &[execution::Heard]) -> Vec<String> {
+    let words = notices.iter().map(|n| match n {
+        execution::Heard::Up { .. } => "up".to_owned(),
+        execution::Heard::Replied {
+            reply,
+            sighting,
+            report,
+            ..
+        } => {
+            let reply = match reply {
+                Reply::Rows(rows) => format!(
+                    "rows({})",
+                    String::from_utf8_lossy(messages::row_value(rows).unwrap_or_default())
+                ),
+                Reply::Error(code) => code.clone(),
+                Reply::Malformed => "malformed".to_owned(),
+            };
+            let at = sighting
+                .position
+                .map_or(String::new(), |p| format!("@{}", p.0 / 1000));
+            let role = sighting.is_primary.map_or("", |p| if p { "!" } else { "?" });
+            format!("{reply}{at}{role}{}", report.as_deref().unwrap_or_default())
+        }
+        execution::Heard::Down { written, .. } => if *written { "lost" } else { "unwritten" }.to_owned(),
+    });
+    words.collect()
+}
+
+#[test]
+fn members_answers_are_told_apart() {
+    let ready = message(b'Z', b"I");
+    let served = [described(1), row(b"v"), message(b'C', b"SELECT 1\0")].concat();
+    let ok = |more: Vec<u8>| [&served[..], &more, &ready].concat();
+    let failed = |code: &str, more: Vec<u8>| [error(code), more, ready.clone()].concat();
+    let large = [
+        described(1),
+        row(&vec![b'x'; messages::VALUE]),
+        message(b'C', b"SELECT 1\0"),
+        ready.clone(),
+    ]
+    .concat();
+    #[rustfmt::skip]
+    let cases: Vec<(&str, Vec<u8>, &str, bool)> = vec![
+        ("a row", ok(vec![]), "rows(v)", false),
+        ("a row with position and role", ok([status("as_of", "1767225600123"), status("rank", "copy")].concat()), "rows(v)@1767225600123?", false),
+        ("a commit at the primary", ok([status("as_of", "5"), status("rank", "source")].concat()), "rows(v)@5!", false),
+        ("a report beside it", ok(status("vitals", "inflight=7,util=0.61")), "rows(v)inflight=7,util=0.61", false),
+        ("a notice before it", [message(b'N', b"SNOTICE\0\0"), ok(vec![])].concat(), "rows(v)", false),
+        ("other parameters", ok(status("TimeZone", "UTC")), "rows(v)", false),
+        ("unreadable position and role", ok([status("as_of", "soon"), status("rank", "king")].concat()), "rows(v)", false),
+        ("no primary", failed("25006", status("rank", "copy")), "25006?", false),
+        ("too far behind", failed("72000", status("as_of", "9")), "72000@9", false),
+        ("an error", failed("XX000", vec![]), "XX000", false),
+        ("turned away", failed("53300", vec![]), "53300", false),
+        ("two columns", [described(2), row(b"v"), ready.clone()].concat(), "malformed", true),
+        ("two rows", [described(1), row(b"v"), row(b"w"), ready.clone()].concat(), "malformed", true),
+        ("a row without its description", [row(b"v"), ready.clone()].concat(), "malformed", true),
+        ("no row", [described(1), message(b'C', b"SELECT 0\0"), ready.clone()].concat(), "malformed", true),
+        ("a row cut short", [described(1), message(b'D', b"\0\x01\0\0\0\x09abc"), ready.clone()].concat(), "malformed", true),
+        ("ready with nothing said", ready.clone(), "malformed", true),
+        ("an empty answer", [message(b'I', b""), ready.clone()].concat(), "malformed", true),
+        ("an error without a code", [message(b'E', b"SERROR\0\0"), ready.clone()].concat(), "malformed", true),
+        ("an error behind the row", [&served[..], &error("XX000"), &ready].concat(), "malformed", true),
+        ("a message of no length", vec![b'T', 0, 0, 0, 0], "malformed", true),
+        ("longer than any answer", vec![b'D', 0, 2, 0, 0], "malformed", true),
+        ("not the protocol at all", b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec(), "malformed", true),
+        ("stray bytes behind the answer", [ok(vec![]), vec![b'D']].concat(), "rows(v)", true),
+    ];
+    for (name, bytes, news, close) in &cases {
+        for pieces in [bytes.len(), 1] {
+            let (mut member, mut out) = greeted_member();
+            hear(&mut member, bytes, pieces, &mut out);
+            assert_eq!(
+                (member_news(&out.notices), out.close),
+                (vec![(*news).to_owned()], *close),
+                "{name}"
+            );
+        }
+    }
+    let (mut member, mut out) = greeted_member();
+    hear(&mut member, &large, 1000, &mut out);
+    let Some(execution::Heard::Replied {
+        reply: Reply::Rows(rows),
+        ..
+    }) = out.notices.pop()
+    else {
+        panic!("the largest value is an answer");
+    };
+    assert_eq!(rows, large[..large.len() - ready.len()]);
+}
+
+/// A connection whose query has gone out.
+fn greeted_member() -> (Executions, Outbox<execution::Heard>) {
+    let (mut member, mut out) = (Executions::new(1), Outbox::default());
+    member.opened(&mut out);
+    member.told(Run(query("q")), AT, &mut out);
+    member.written(&mut out);
+    let greeting = [
+        message(b'R', &[0; 4]),
+        status("rank", "copy"),
+        message(b'Z', b"I"),
+    ]
+    .concat();
+    hear(&mut member, &greeting, 7, &mut out);
+    member.written(&mut out);
+    assert_eq!(member_news(&out.notices), ["up"]);
+    (member, Outbox::default())
+}
+
+#[test]
+fn only_what_was_never_written_never_ran() {
+    let ready = message(b'Z', b"I");
+    let greeting = [message(b'R', &[0; 4]), ready.clone()].concat();
+    let row = [described(1), row(b"v"), message(b'C', b"SELECT 1\0")].concat();
+    // What came, how often all was with the kernel, what is told at the end.
+    #[rustfmt::skip]
+    let cases = [
+        ("before it came up", vec![], 0, vec!["unwritten"]),
+        ("in the greeting", vec![], 1, vec!["unwritten"]),
+        ("refused in the greeting", vec![error("53300")], 1, vec!["unwritten"]),
+        ("a password asked for", vec![message(b'R', &[0, 0, 0, 3])], 1, vec!["unwritten"]),
+        ("before the query's last byte", vec![greeting.clone()], 1, vec!["up", "unwritten"]),
+        ("after it", vec![greeting.clone()], 2, vec!["up", "lost"]),
+        ("in the middle of a row", vec![greeting.clone(), row[..20].to_vec()], 2, vec!["up", "lost"]),
+        ("behind a row that has ended", vec![greeting.clone(), row.clone()], 2, vec!["up", "rows(v)", "unwritten"]),
+        ("behind an error", vec![greeting.clone(), error("53300")], 2, vec!["up", "53300", "unwritten"]),
+        ("while idle", vec![greeting.clone(), row, ready], 2, vec!["up", "rows(v)", "unwritten"]),
+    ];
+    for (name, came, written, told) in cases {
+        let (mut member, mut out) = (Executions::new(1), Outbox::default());
+        member.told(Run(query("q")), AT, &mut out);
+        member.opened(&mut out);
+        let mut left = written;
+        for bytes in &came {
+            if left > 0 {
+                member.written(&mut out);
+                left -= 1;
+            }
+            hear(&mut member, bytes, bytes.len(), &mut out);
+        }
+        (0..left).for_each(|_| member.written(&mut out));
+        member.ended(AT, &mut out);
+        assert_eq!(member_news(&out.notices), told, "{name}");
+    }
+}
+
+#[test]
+fn the_comment_is_read_whatever_its_order() {
+    let marked = |workload: &str, group, left_ms, repeat, after, key: Option<&str>| Marked {
+        workload: workload.to_owned(),
+        group,
+        left_ms,
+        repeat,
+        after,
+        key: key.map(str::to_owned),
+        left_at: 0..0,
+    };
+    #[rustfmt::skip]
+    let cases = [
+        ("/* id=9b,c=basket,d=480,cluster=2,after=1767225600123 */ SELECT blob FROM rows WHERE handle = '7f3a'",
+         Ok(marked("basket", 2, 480, false, Some(1_767_225_600_123), Some("7f3a")))),
+        ("  /*cluster=0 , r=1,d=12,new=thing,c=a b,id=x,k=w*/ INSERT INTO rows VALUES ('it''s', '\\x9f03')",
+         Ok(marked("a b", 0, 12, true, None, Some("it's")))),
+        ("/* id=9,c=a,d=1,cluster=1,r=0 */ SELECT 1", Ok(marked("a", 1, 1, false, None, None))),
+        ("SELECT 1", Err("42601")),
+        ("/* id=1,c=a,d=1,cluster=1 SELECT 1", Err("42601")),
+        ("/* id=1,c=a,d=1,cluster=1 */ SELECT 'open", Err("42601")),
+        ("/* c=a,d=1,cluster=1 */ SELECT 1", Err("22023")),
+        ("/* id=1,c=a,cluster=1 */ SELECT 1", Err("22023")),
+        ("/* id=1,c=a,d=soon,cluster=1 */ SELECT 1", Err("22023")),
+        ("/* id=1,c=a,d=-1,cluster=1 */ SELECT 1", Err("22023")),
+        ("/* id=1,c=a,d=1,cluster=99999999999 */ SELECT 1", Err("22023")),
+        ("/* id=1,c=a,d=1,cluster=1,after=x */ SELECT 1", Err("22023")),
+    ];
+    for (text, expected) in cases {
+        match (comment::read(text), expected) {
+            (Ok(found), Ok(expected)) => {
+                let left_at = found.left_at.clone();
+                assert_eq!(text[left_at.clone()], expected.left_ms.to_string(), "{text}");
+                let passed = comment::with_left(text.as_bytes(), &left_at, 7);
+                let passed = String::from_utf8(passed).expect("stays text");
+                assert_eq!(
+                    passed,
+                    text.replacen(&format!("d={}", expected.left_ms), "d=7", 1)
+                );
+                assert_eq!(found, Marked { left_at, ..expected }, "{text}");
+            }
+            (found, expected) => assert_eq!(found.map_err(|e| e.code), expected, "{text}"),
+        }
+    }
+    let valued = |bytes: usize| format!("/* id=1,c=a,d=1,cluster=1 */ SELECT '\\x{}'", "ab".repeat(bytes));
+    assert!(comment::read(&valued(messages::VALUE)).is_ok());
+    assert_eq!(
+        comment::read(&valued(messages::VALUE + 1)),
+        Err(comment::TOO_LARGE)
+    );
+}
+
+#[test]
+fn positions_are_never_told_fresher_than_they_are() {
+    let at = |ms: u64| Some(Point(0) + Span::millis(ms));
+    let seen = |position, is_primary| Sighting { position, is_primary };
+    #[rustfmt::skip]
+    let cases = [
+        ("x0=1767225600.123,x1=1,cpu_share=0.5", seen(at(1_767_225_600_123), Some(true))),
+        ("cpu_share=0.5,x1=0,x0=1767225600.9999", seen(at(1_767_225_600_999), Some(false))),
+        ("x0=12", seen(at(12_000), None)),
+        ("x0=-3,x1=", seen(None, None)),
+        ("x0=nan,x1=inf", seen(None, Some(false)).without_role()),
+        ("nothing of the kind", seen(None, None)),
+        ("", seen(None, None)),
+    ];
+    for (text, expected) in cases {
+        assert_eq!(vitals::report(text, Some("x0"), Some("x1")), expected, "{text}");
+    }
+    assert_eq!(vitals::report("x0=5,x1=1", None, None), Sighting::default());
+    for (text, expected) in [
+        ("5", at(5)),
+        ("0", None),
+        ("-5", None),
+        ("18446744073709551615", None),
+        ("5.5", None),
+    ] {
+        assert_eq!(vitals::position(text), expected, "{text}");
+    }
+}
+
+trait WithoutRole {
+    fn without_role(self) -> Self;
+}
+
+impl WithoutRole for Sighting {
+    fn without_role(self) -> Self {
+        Sighting {
+            is_primary: None,
+            ..self
+        }
+    }
+}
+
+#[test]
+fn discovery_is_read_or_left_out() {
+    let whole = |status, body: &[u8], taken, keep| Answer::Whole {
+        status,
+        body: body.to_vec(),
+        taken,
+        keep,
+    };
+    #[rustfmt::skip]
+    let cases: Vec<(&[u8], Answer)> = vec![
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}HT", whole(200, b"{}", 40, true)),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nConnection: close\r\n\r\n{}", whole(200, b"{}", 59, false)),
+        (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", whole(503, b"", 38, true)),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1\r\n}\r\n0\r\n\r\n", whole(200, b"{}", 64, true)),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{}", Answer::Partial),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", Answer::Partial),
+        (b"HTTP/1.1 200 OK\r\nCont", Answer::Partial),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}x\r\n", Answer::Malformed),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", Answer::Malformed),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", Answer::Malformed),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", Answer::Malformed),
+        (b"HTTP/1.1 200 OK\r\n\r\n{}", Answer::Malformed),
+        (b"SSH-2.0-OpenSSH\r\n", Answer::Malformed),
+    ];
+    for (bytes, expected) in cases {
+        assert_eq!(
+            http::answer(bytes),
+            expected,
+            "{}",
+            String::from_utf8_lossy(bytes)
+        );
+    }
+    let listed = |entry: &str| format!(r#"{{"index":4,"snapshot":false,"endpoints":[{entry}]}}"#);
+    let good = r#"{"name":"s","address":"1.2.3.4:5","zone":"a","group":3,"status":"DRAINING","weight":2.5,"since_ms":9,"rank":"source"}"#;
+    #[rustfmt::skip]
+    let cases = [
+        (listed(good), Some((1, 0))),
+        (listed(r#"{"name":"s","status":"DELETED"}"#), Some((1, 0))),
+        (listed(&format!(r#"{good},{{"address":"1.2.3.4:5","status":"SERVING"}},7"#)), Some((1, 2))),
+        (listed(r#"{"name":"s","status":"SERVING"}"#), Some((0, 1))),
+        (listed(r#"{"name":"s","address":"1.2.3.4:5","status":"AWAY"}"#), Some((0, 1))),
+        (listed(r#"{"name":"s","address":"1.2.3.4:5","status":"SERVING","group":"x"}"#), Some((0, 1))),
+        (r#"{"index":4}"#.to_owned(), None),
+        (r#"{"endpoints":[]}"#.to_owned(), None),
+        ("[]".to_owned(), None),
+        ("{".to_owned(), None),
+    ];
+    for (text, expected) in cases {
+        let read = roster::read(text.as_bytes());
+        assert_eq!(read.map(|r| (r.entries.len(), r.left_out)), expected, "{text}");
+    }
+    let read = roster::read(listed(good).as_bytes()).expect("is good");
+    let e = &read.entries[0];
+    assert_eq!(
+        (read.index, read.whole, e.status, e.group),
+        (4, false, Status::Draining, 3)
+    );
+    assert_eq!(
+        (e.weight, e.since_ms, e.is_primary, &e.zone[..]),
+        (2.5, 9, true, "a")
+    );
+}
+
+#[test]
+fn a_watch_goes_on_in_the_turn_in_which_it_was_answered() {
+    let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let list = |index: u32| answer(&format!(r#"{{"index":{index},"snapshot":true,"endpoints":[]}}"#));
+    let path = |out: &Outbox<watch::News>| {
+        let text = String::from_utf8_lossy(&out.bytes).into_owned();
+        text.split(' ').nth(1).unwrap_or_default().to_owned()
+    };
+    for (known, first) in [
+        (None, "/registry/instances"),
+        (Some(7), "/registry/instances?after=7&wait_ms=500"),
+    ] {
+        let (mut calls, mut out) = (
+            watch::Watch::new(3, "h".to_owned(), 500, known),
+            Outbox::default(),
+        );
+        calls.opened(&mut out);
+        assert_eq!(path(&out), first);
+        for index in [8, 9] {
+            out.bytes.clear();
+            hear(&mut calls, list(index).as_bytes(), 11, &mut out);
+            assert_eq!(
+                path(&out),
+                format!("/registry/instances?after={index}&wait_ms=500")
+            );
+            assert!(
+                matches!(out.notices.pop(), Some(watch::News { call: 3, heard: watch::Heard::Told(r) }) if r.index == u64::from(index))
+            );
+        }
+        hear(&mut calls, answer("{}").as_bytes(), 11, &mut out);
+        assert!(matches!(
+            out.notices.pop(),
+            Some(watch::News {
+                call: 3,
+                heard: watch::Heard::Unreadable
+            })
+        ));
+        assert!(out.close);
+    }
+}
--- /dev/null
+++ b/crates/driver/tests/routing.rs
@@ -0,0 +1,559 @@
+//! The owner of the module, told of connections and given a clock, without a socket.
+
+use asterlatch::interface::Sighting;
+use asterlatch::time::{Point, Span};
+use asterlatch_driver::protocol::execution::{Heard as Member, Reply, Run};
+use asterlatch_driver::protocol::messages;
+use asterlatch_driver::protocol::roster::{Entry, Roster, Status};
+use asterlatch_driver::protocol::session::{Heard as Client, Say};
+use asterlatch_driver::protocol::watch::{Heard as Discovery, News};
+use asterlatch_driver::routing::calls::Call;
+use asterlatch_driver::routing::owner::{Observer, Owner, Place};
+use asterlatch_driver::routing::queue::Input;
+use asterlatch_driver::transport::listener::Arrival;
+use asterlatch_driver::transport::stream::Line;
+use asterlatch_settings::{read, Pairs};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::fmt::Arguments;
+use std::io;
+use std::rc::Rc;
+use std::sync::mpsc::{channel, Receiver, TryRecvError};
+
+const START: Point = Point(1_767_225_600_000_000);
+const SETTINGS: &str = r#"{"categories":[
+ {"name":"view","idempotency":"retryable","objective_us":500000,"worth":1.0,"late_worth":0.2},
+ {"name":"post","idempotency":"fragile","objective_us":1200000,"worth":3.0,"late_worth":0.3}],
+ "family_info":{"freshness":["loose","update"],"behind":"hold","answers_stamped":true},
+ "limits":{"cancel":true,"probes":true,"try_limit":10,"conn_idle_us":30000000,"connect_timeout_us":250000,
+ "max_retry_after_us":500000},"report":{"fields":["x0","x1"],"how":"on_probe"},"tick_us":5000,"zones":["a"]}"#;
+
+struct Quiet;
+
+impl Observer for Quiet {
+    fn say(&mut self, _now: Point, _topic: &'static str, _text: Arguments) {}
+}
+
+/// Connections by number: the member's address and what it is told.
+type Dialled = Rc<RefCell<BTreeMap<u32, (String, Receiver<Run>)>>>;
+type Called = Rc<RefCell<Vec<(Call, Receiver<Infallible>)>>>;
+
+struct Stage {
+    owner: Owner<Quiet>,
+    now: Point,
+    dialled: Dialled,
+    called: Called,
+    clients: BTreeMap<u32, Receiver<Say>>,
+    /// The error with which the next dial fails.
+    fault: Rc<RefCell<Option<i32>>>,
+}
+
+fn entry(name: &str, status: Status, is_primary: bool) -> Entry {
+    Entry {
+        name: name.to_owned(),
+        address: format!("10.0.0.{}:5432", name.len()),
+        zone: "a".to_owned(),
+        group: 1,
+        status,
+        weight: 1.0,
+        since_ms: 0,
+        is_primary,
+    }
+}
+
+fn list(index: u64, entries: Vec<Entry>) -> Roster {
+    Roster {
+        index,
+        whole: true,
+        entries,
+        left_out: 0,
+    }
+}
+
+/// Its primary stands at 10.0.0.1, its replica at 10.0.0.2.
+fn group() -> Roster {
+    let (primary, replica) = (
+        entry("p", Status::Serving, true),
+        entry("rr", Status::Serving, false),
+    );
+    list(1, vec![primary, replica])
+}
+
+const PRIMARY: &str = "10.0.0.1:5432";
+const REPLICA: &str = "10.0.0.2:5432";
+
+impl Stage {
+    fn new(settings: &str, sockets: usize, memory: usize) -> Stage {
+        let (dialled, called, fault) = (Dialled::default(), Called::default(), Rc::new(RefCell::new(None)));
+        let (d, c, f) = (dialled.clone(), called.clone(), fault.clone());
+        let place = Place {
+            members: Box::new(move |id, address| match f.borrow_mut().take() {
+                Some(code) => Err(io::Error::from_raw_os_error(code)),
+                None => {
+                    let (sender, told) = channel();
+                    d.borrow_mut().insert(id, (address.to_string(), told));
+                    Ok(Line::to(sender))
+                }
+            }),
+            discovery: Box::new(move |call| {
+                let (sender, told) = channel();
+                c.borrow_mut().push((call, told));
+                Ok(Line::to(sender))
+            }),
+            sockets,
+            memory,
+        };
+        let json = serde_json::from_str(settings).expect("is JSON");
+        let settings = Pairs::from_json(&json).and_then(|p| read(&p)).expect("is read");
+        let mut stage = Stage {
+            owner: Owner::new(settings, 7, place, START, Quiet),
+            now: START,
+            dialled,
+            called,
+            clients: BTreeMap::new(),
+            fault,
+        };
+        stage.owner.learn_roster(START, &group());
+        stage.pass(0);
+        // The probes of the start are of no interest here.
+        let probes: Vec<_> = stage.dialled.borrow().keys().copied().collect();
+        for connection in probes {
+            stage.heard(Member::Up { connection });
+            stage.reply(connection, Reply::Rows(Vec::new()), None);
+            stage
+                .dialled
+                .borrow()
+                .get(&connection)
+                .map(|(_, told)| told.try_recv());
+        }
+        stage
+    }
+
+    fn pass(&mut self, ms: u64) {
+        let end = self.now + Span::millis(ms);
+        while self.owner.next_at() <= end {
+            self.now = self.now.max(self.owner.next_at());
+            self.owner.reach(self.now);
+        }
+        self.now = end;
+        self.owner.reach(self.now);
+    }
+
+    fn heard(&mut self, heard: Member) {
+        self.owner.take(self.now, Input::Member(heard));
+    }
+
+    fn reply(&mut self, connection: u32, reply: Reply, is_primary: Option<bool>) {
+        let (at, report) = (self.now, None);
+        let sighting = Sighting {
+            position: Some(at),
+            is_primary,
+        };
+        self.heard(Member::Replied {
+            connection,
+            at,
+            reply,
+            sighting,
+            report,
+        });
+    }
+
+    fn client(&mut self, id: u32) {
+        let (sender, told) = channel();
+        self.clients.insert(id, told);
+        self.owner
+            .take(self.now, Input::Arrival(Arrival::Client(id, Line::to(sender))));
+    }
+
+    fn asks(&mut self, client: u32, fields: &str) {
+        let text = format!("/* id=1,{fields} */ SELECT blob FROM rows WHERE handle = 'k'").into_bytes();
+        let at = self.now;
+        self.owner
+            .take(self.now, Input::Client(Client::Statement { client, text, at }));
+    }
+
+    /// What the client was told, in short.
+    fn told(&self, client: u32) -> String {
+        let words = self.clients[&client].try_iter().map(|say| match say {
+            Say::Rows(rows) => format!("rows({})", String::from_utf8_lossy(&rows)),
+            Say::Error {
+                code, hold_off_ms, ..
+            } => format!(
+                "{code}{}",
+                hold_off_ms.map_or(String::new(), |ms| format!("+{ms}"))
+            ),
+            Say::Leave => "leave".to_owned(),
+            Say::Refuse => "refuse".to_owned(),
+        });
+        words.collect::<Vec<_>>().join(" ")
+    }
+
+    /// The connection that was just told to run a statement, and at which address.
+    fn sent(&self) -> Option<(u32, String)> {
+        let dialled = self.dialled.borrow();
+        let found = dialled.iter().rev().find_map(|(id, (address, told))| {
+            let Run(query) = told.try_recv().ok()?;
+            let text = String::from_utf8_lossy(&query).into_owned();
+            text.contains("SELECT blob").then(|| (*id, address.clone()))
+        });
+        found
+    }
+
+    fn is_open(&self, connection: u32) -> bool {
+        let dialled = self.dialled.borrow();
+        !matches!(dialled[&connection].1.try_recv(), Err(TryRecvError::Disconnected))
+    }
+}
+
+const VIEW: &str = "c=view,d=900,cluster=1";
+const POST: &str = "c=post,d=3000,cluster=1";
+
+fn stage() -> Stage {
+    let mut stage = Stage::new(SETTINGS, 1024, 192 << 20);
+    stage.client(1);
+    stage
+}
+
+fn rows(value: &str) -> Reply {
+    Reply::Rows(value.as_bytes().to_vec())
+}
+
+#[test]
+fn the_answer_of_a_member_goes_to_its_client_once() {
+    let mut s = stage();
+    for (fields, address) in [(VIEW, REPLICA), (POST, PRIMARY), (VIEW, REPLICA)] {
+        s.asks(1, fields);
+        let (connection, at) = s.sent().expect("is sent at once");
+        assert_eq!(at, address, "the design's ordinary path");
+        s.reply(connection, rows("v"), Some(at == PRIMARY));
+        s.reply(connection, rows("again"), Some(at == PRIMARY));
+        s.heard(Member::Down {
+            connection: 99,
+            at: s.now,
+            written: true,
+        });
+        assert_eq!(s.told(1), "rows(v)");
+    }
+    assert_eq!(
+        (s.owner.figures.completed, s.owner.figures.executions_sent),
+        (3, 3)
+    );
+    assert_eq!(s.owner.open_statements(), 0);
+}
+
+/// What a member's connection did, what that makes of a write's client within 100 ms, and whether the write
+/// went out again.
+#[test]
+fn a_write_goes_out_again_only_where_it_never_ran() {
+    enum Came {
+        Error(&'static str),
+        Malformed,
+        Down(bool),
+        Nothing,
+    }
+    #[rustfmt::skip]
+    let cases = [
+        ("an error", Came::Error("XX000"), "40003", false),
+        ("an unknown code", Came::Error("57P03"), "40003", false),
+        ("no answer at all", Came::Malformed, "40003", false),
+        ("lost behind the last byte", Came::Down(true), "40003", false),
+        ("lost before the last byte", Came::Down(false), "", true),
+        ("turned away", Came::Error("53300"), "", true),
+        ("no connection in time", Came::Nothing, "", true),
+    ];
+    for (name, came, told, again) in cases {
+        let mut s = stage();
+        // All idle connections are in use, so that this one is new.
+        s.client(2);
+        s.asks(2, POST);
+        s.sent().expect("the first is sent");
+        s.asks(1, POST);
+        let (connection, _) = s.sent().expect("is sent at once");
+        match came {
+            Came::Nothing => s.pass(250),
+            _ => s.heard(Member::Up { connection }),
+        }
+        match came {
+            Came::Error(code) => s.reply(connection, Reply::Error(code.to_owned()), None),
+            Came::Malformed => s.reply(connection, Reply::Malformed, None),
+            Came::Down(written) => s.heard(Member::Down {
+                connection,
+                at: s.now,
+                written,
+            }),
+            Came::Nothing => {}
+        }
+        s.pass(100);
+        assert_eq!(s.told(1), told, "{name}");
+        assert_eq!(s.sent().is_some(), again, "{name}");
+    }
+}
+
+#[test]
+fn a_connection_that_ended_while_idle_costs_no_execution() {
+    let mut s = stage();
+    s.asks(1, POST);
+    let (idle, _) = s.sent().expect("on the connection of the probe");
+    s.heard(Member::Down {
+        connection: idle,
+        at: s.now,
+        written: false,
+    });
+    let (fresh, at) = s.sent().expect("on a new one");
+    assert_eq!((at.as_str(), s.owner.figures.executions_sent), (PRIMARY, 1));
+    assert!(fresh != idle && s.told(1).is_empty());
+    s.heard(Member::Up { connection: fresh });
+    s.reply(fresh, rows("v"), Some(true));
+    assert_eq!(
+        (s.told(1).as_str(), s.owner.figures.ended_completed),
+        ("rows(v)", 1)
+    );
+}
+
+#[test]
+fn what_is_given_up_is_never_heard_again() {
+    // The client leaves, or its time is up.
+    for leaves in [true, false] {
+        let mut s = stage();
+        s.asks(1, VIEW);
+        let (connection, _) = s.sent().expect("is sent at once");
+        if leaves {
+            s.owner.take(s.now, Input::Client(Client::Gone { client: 1 }));
+        } else {
+            s.pass(900);
+            assert_eq!(
+                s.told(1),
+                "53300+500",
+                "told before its time is up, and when to come back"
+            );
+        }
+        assert!(!s.is_open(connection), "giving up ends the connection");
+        assert_eq!(s.owner.open_statements(), 0);
+        s.reply(connection, rows("late"), Some(false));
+        s.pass(2000);
+        assert_eq!(s.told(1), "");
+        assert_eq!(s.owner.figures.completed, 0);
+    }
+}
+
+#[test]
+fn what_cannot_be_routed_reaches_no_member() {
+    let mut s = stage();
+    for (fields, code) in [
+        ("c=nothing,d=900,cluster=1", "22023"),
+        ("c=view,d=900,cluster=9", "22023"),
+        ("c=view,cluster=1", "22023"),
+        ("c=view,d=x,cluster=1", "22023"),
+    ] {
+        s.asks(1, fields);
+        assert_eq!((s.told(1).as_str(), s.sent()), (code, None), "{fields}");
+    }
+    let text = b"SELECT 1".to_vec();
+    s.owner.take(
+        s.now,
+        Input::Client(Client::Statement {
+            client: 1,
+            text,
+            at: s.now,
+        }),
+    );
+    assert_eq!(s.told(1), "42601");
+    // A time that no clock reaches is no reason to fail.
+    s.asks(
+        1,
+        "c=view,d=18446744073709551615,cluster=1,after=18446744073709551615",
+    );
+    assert!(s.sent().is_some());
+}
+
+#[test]
+fn clients_beyond_the_bound_take_the_place_of_idle_ones() {
+    // 78 descriptors: 48 kept, 20 for clients, 10 for members.
+    let mut s = Stage::new(SETTINGS, 78, 192 << 20);
+    (1..=20).for_each(|id| s.client(id));
+    (2..=20).for_each(|id| s.asks(id, "c=view,d=60000,cluster=1"));
+    s.client(21);
+    assert_eq!(
+        (s.told(1).as_str(), s.told(21).as_str()),
+        ("leave", ""),
+        "the only idle one goes"
+    );
+    s.asks(21, "c=view,d=60000,cluster=1");
+    s.client(22);
+    assert_eq!(s.told(22), "refuse", "none is idle");
+    s.asks(22, VIEW);
+    assert_eq!(
+        s.owner.figures.statements_taken, 20,
+        "what the refused one sends is not taken"
+    );
+    assert!(
+        s.dialled.borrow().len() <= 10,
+        "members' connections are bounded too"
+    );
+}
+
+#[test]
+fn statements_fill_no_more_than_their_part_of_the_memory() {
+    let mut s = Stage::new(SETTINGS, 1024, 1000);
+    (1..=5).for_each(|id| {
+        s.client(id);
+        s.asks(id, "c=view,d=60000,cluster=1");
+    });
+    let rejected = (1..=5).filter(|id| s.told(*id) == "53300").count() as u64;
+    assert!((1..=4).contains(&rejected), "{rejected}");
+    assert_eq!(
+        (
+            s.owner.figures.statements_taken,
+            s.owner.figures.rejected_for_memory
+        ),
+        (5 - rejected, rejected)
+    );
+}
+
+#[test]
+fn want_of_descriptors_is_not_held_against_a_member() {
+    for (code, ended) in [(24, "never_sent"), (111, "no_connection")] {
+        let mut s = stage();
+        s.client(2);
+        s.asks(2, POST);
+        s.sent().expect("the first is sent");
+        *s.fault.borrow_mut() = Some(code);
+        s.asks(1, POST);
+        let figures = &s.owner.figures;
+        let counts = (figures.ended_never_sent, figures.ended_no_connection);
+        assert_eq!(counts, if ended == "never_sent" { (1, 0) } else { (0, 1) });
+        assert_eq!(s.told(1), "");
+    }
+}
+
+#[test]
+fn idle_connections_end_before_their_machine_ends_them() {
+    let mut s = stage();
+    s.asks(1, VIEW);
+    let (connection, _) = s.sent().expect("is sent at once");
+    s.reply(connection, rows("v"), Some(false));
+    s.pass(20_000);
+    assert!(s.is_open(connection));
+    s.pass(9000);
+    assert!(!s.is_open(connection), "before the 30 s of the settings");
+    // A member that has moved is not spoken to at its old address.
+    s.asks(1, POST);
+    let (connection, _) = s.sent().expect("is sent at once");
+    s.heard(Member::Up { connection });
+    s.reply(connection, rows("v"), Some(true));
+    let mut moved = entry("p", Status::Serving, true);
+    moved.address = "10.0.0.9:5432".to_owned();
+    s.owner.learn_roster(
+        s.now,
+        &Roster {
+            whole: false,
+            ..list(2, vec![moved])
+        },
+    );
+    s.asks(1, POST);
+    assert_eq!(s.sent().map(|(_, at)| at), Some("10.0.0.9:5432".to_owned()));
+}
+
+#[test]
+fn discovery_may_fail_and_the_last_good_list_stands() {
+    let mut s = stage();
+    let hear = |s: &mut Stage, call, heard| s.owner.take(s.now, Input::from(News { call, heard }));
+    assert_eq!(
+        (s.called.borrow().len(), s.called.borrow()[0].0.after),
+        (1, None),
+        "the whole list first"
+    );
+    hear(&mut s, 1, Discovery::Told(group()));
+    hear(&mut s, 1, Discovery::Unreadable);
+    hear(&mut s, 1, Discovery::Down);
+    s.pass(99);
+    assert_eq!(s.called.borrow().len(), 1, "not without a pause");
+    s.pass(1);
+    assert_eq!(s.called.borrow()[1].0.after, Some(1), "only what is newer");
+    // News of a call that is over must not end the one that stands, nor change the list.
+    hear(&mut s, 1, Discovery::Down);
+    hear(&mut s, 1, Discovery::Told(list(9, Vec::new())));
+    s.asks(1, VIEW);
+    assert!(s.sent().is_some());
+    s.pass(21_000);
+    assert_eq!(s.called.borrow().len(), 2, "a watch may wait");
+    s.pass(2000);
+    assert!(s.called.borrow().len() > 2, "but not for ever");
+    // Each failure in a row makes the pause longer.
+    let before = s.called.borrow().len() as u32;
+    let mut pauses = Vec::new();
+    for n in 0..6 {
+        hear(&mut s, before + n, Discovery::Down);
+        pauses.push((s.owner.next_at() - s.now).0 / 1000);
+        s.pass(2000);
+    }
+    assert!(
+        pauses.windows(2).all(|p| p[0] <= p[1]) && pauses.last() > pauses.first(),
+        "{pauses:?}"
+    );
+    // An entry that can't be reached is left out; an empty change changes nothing.
+    let mut lost = entry("lost", Status::Serving, false);
+    lost.address = "nowhere".to_owned();
+    s.owner.learn_roster(
+        s.now,
+        &Roster {
+            whole: false,
+            ..list(3, vec![lost])
+        },
+    );
+    assert_eq!(s.owner.figures.roster_entries_left_out, 1);
+}
+
+#[test]
+fn where_the_list_is_asked_for_the_module_says_when() {
+    let asks = SETTINGS.replacen(
+        '{',
+        r#"{"discovery":"ask","rules":{"ask_within_us":10000000},"#,
+        1,
+    );
+    let mut s = Stage::new(&asks, 1024, 192 << 20);
+    assert_eq!(s.called.borrow().len(), 1, "at the start");
+    s.owner.take(
+        s.now,
+        Input::from(News {
+            call: 1,
+            heard: Discovery::Down,
+        }),
+    );
+    s.pass(400);
+    assert_eq!(s.called.borrow().len(), 1, "not on the network's own account");
+    s.pass(1200);
+    assert_eq!(
+        s.called.borrow().len(),
+        2,
+        "a tenth of the time in which it must be asked for, or half more"
+    );
+}
+
+#[test]
+fn a_probe_tells_position_and_role() {
+    let mut s = Stage::new(SETTINGS, 1024, 192 << 20);
+    assert!(s.owner.figures.probes_answered > 0);
+    let asked = messages::probe(true);
+    assert!(asked.windows(11).any(|w| w == b"SHOW vitals"));
+    // The replica owes an answer for long enough to be shunned, and is probed until it speaks.
+    s.client(1);
+    s.asks(1, "c=view,d=60000,cluster=1");
+    s.sent().expect("is sent at once");
+    let before = s.owner.figures.probes_sent;
+    s.pass(3000);
+    assert!(s.owner.figures.probes_sent > before);
+}
+
+#[test]
+fn clients_are_sent_away_and_those_that_still_come() {
+    let mut s = stage();
+    s.asks(1, VIEW);
+    s.owner.send_clients_away();
+    s.client(2);
+    assert_eq!((s.told(1).as_str(), s.told(2).as_str()), ("leave", "leave"));
+    let (connection, _) = s.sent().expect("what was taken goes on");
+    s.reply(connection, rows("v"), Some(false));
+    assert_eq!(s.told(1), "rows(v)");
+}
