Bound what a client that reads nothing can fill; give each connection its turn

Seen while reading: a client that sends empty queries and reads no answer was read on, so that its answers and the notices of its rest filled the memory (stream.rs, read; session.rs, next), and a connection whose peer never pauses kept the others waiting, for a yielding coroutine runs again before the sockets are looked at. Tests: a client that reads nothing, phases, log and configuration, and ends told behind an answer.

--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -143,9 +143,9 @@
                 match messages::text(body) {
                     None => self.malformed("unreadable query", out),
                     Some(text) if text.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() => {
+                        // No news: a client that sends nothing else would fill the owner's queue.
                         messages::put(&mut out.bytes, b'I', &[]);
                         messages::put_ready(&mut out.bytes);
-                        self.rest(at, out);
                     }
                     Some(text) => {
                         let text = text.as_bytes().to_vec();
@@ -188,24 +188,24 @@
     type Notice = Heard;
 
     fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Heard>) {
+        let mut used = 0;
         loop {
-            let skipped = self.skip.min(input.len());
-            input.drain(..skipped);
+            let skipped = self.skip.min(input.len() - used);
+            used += skipped;
             self.skip -= skipped;
-            if self.skip > 0 {
-                return;
-            }
             let taken = match self.state {
-                State::Opening => self.open(input, at, out),
-                State::Between => self.next(input, at, out),
-                State::Out => return,
-                State::Over => return input.clear(),
+                _ if self.skip > 0 => break,
+                State::Opening => self.open(&input[used..], at, out),
+                State::Between => self.next(&input[used..], at, out),
+                State::Out => break,
+                State::Over => input.len() - used,
             };
-            input.drain(..taken);
-            if taken == 0 && self.skip == 0 && self.state != State::Over {
-                return;
+            used += taken;
+            if taken == 0 && self.skip == 0 {
+                break;
             }
         }
+        input.drain(..used);
     }
 
     /// An answer to a statement that is no longer out would be a second one, and is left out.
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -9,8 +9,10 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
 
-/// Read at once, so that one busy peer doesn't keep the others waiting.
+/// Read at once.
 const CHUNK: usize = 16 * 1024;
+/// Looks in a row after which a connection lets the others have theirs, however much its peer sends.
+const TURNS: usize = 32;
 
 /// What a dialogue wants done: bytes to write, news for the owner, the connection closed once they are out.
 pub struct Outbox<N> {
@@ -103,7 +105,7 @@
     End,
 }
 
-impl<D: Dialogue, M: From<D::Notice>> Connection<D, M> {
+impl<D: Dialogue, M: From<D::Notice> + Send + 'static> Connection<D, M> {
     /// The owner is gone only when the process ends.
     fn report(&mut self) {
         for notice in self.out.notices.drain(..) {
@@ -127,8 +129,13 @@
         }
     }
 
+    /// Whether more may be read. Not while a peer leaves unread what it has asked for: it could fill the memory.
+    fn hungry(&self) -> bool {
+        self.out.bytes.len() <= CHUNK && self.dialogue.hungry(self.input.len())
+    }
+
     fn read(&mut self) -> Flow {
-        if !self.dialogue.hungry(self.input.len()) {
+        if !self.hungry() {
             return Flow::Wait;
         }
         let held = self.input.len();
@@ -167,7 +174,7 @@
     /// One look at everything. Reading goes before commands, so that what is written to a connection whose
     /// end already lies here is known never to have gone out.
     fn turn(&mut self) -> Flow {
-        let was_hungry = self.dialogue.hungry(self.input.len());
+        let was_hungry = self.hungry();
         let mut flow = if self.up { self.read() } else { self.connect() };
         while !matches!(flow, Flow::End) {
             match self.commands.try_recv() {
@@ -179,13 +186,13 @@
                 Err(TryRecvError::Disconnected) => flow = Flow::End,
             }
         }
-        // The kernel tells of bytes only once: those left with it are asked for as soon as they are wanted.
-        if !was_hungry && self.dialogue.hungry(self.input.len()) && matches!(flow, Flow::Wait) {
-            flow = Flow::Again;
-        }
         if self.up && !matches!(flow, Flow::End) && matches!(self.write(), Flow::End) {
             flow = Flow::End;
         }
+        // The kernel tells of bytes only once: those left with it are asked for as soon as they are wanted.
+        if !was_hungry && self.hungry() && matches!(flow, Flow::Wait) {
+            flow = Flow::Again;
+        }
         self.report();
         if self.out.close && (self.out.bytes.is_empty() || !self.up) {
             flow = Flow::End;
@@ -194,19 +201,29 @@
     }
 
     fn run(mut self) {
-        let spare = 4 * CHUNK;
+        let mut turns = 0;
         loop {
             match self.turn() {
                 Flow::Wait => {
-                    if self.input.is_empty() && self.input.capacity() > spare {
+                    if self.input.is_empty() && self.input.capacity() > 4 * CHUNK {
                         self.input = Vec::new();
                     }
                     self.io.wait_io();
+                    turns = 0;
+                }
+                // A coroutine that yields is run again before the sockets are looked at; only a new one waits.
+                Flow::Again if turns == TURNS => {
+                    may::go!(move || self.run());
+                    return;
                 }
-                Flow::Again => {}
+                Flow::Again => turns += 1,
                 Flow::End => break,
             }
         }
+        self.end();
+    }
+
+    fn end(self) {
         let Connection {
             io,
             mut dialogue,
--- /dev/null
+++ b/crates/driver/tests/process.rs
@@ -0,0 +1,87 @@
+//! Phases, log and configuration, given a clock and values.
+
+use asterlatch::time::{Point, Span};
+use asterlatch_driver::program::config;
+use asterlatch_driver::program::log::Log;
+use asterlatch_driver::program::phases::{Phase, Phases, Seen};
+
+fn at(ms: u64) -> Point {
+    Point(0) + Span::millis(ms)
+}
+
+#[test]
+fn phases_follow_one_another() {
+    // Milliseconds, told to leave, listener closed, open clients and statements, the phase from then on.
+    #[rustfmt::skip]
+    let cases = [
+        ("all are gone", vec![
+            (0, false, false, 3, 3, Phase::Serving),
+            (5, true, false, 3, 3, Phase::Leaving { since: at(5) }),
+            (454, true, false, 3, 3, Phase::Leaving { since: at(5) }),
+            (455, true, false, 3, 3, Phase::Draining { since: at(455) }),
+            (460, true, false, 0, 0, Phase::Draining { since: at(455) }),
+            (461, true, true, 1, 0, Phase::Draining { since: at(455) }),
+            (470, true, true, 0, 0, Phase::Stopped),
+        ]),
+        ("one doesn't read its answer", vec![
+            (0, true, false, 1, 1, Phase::Leaving { since: at(0) }),
+            (450, true, false, 1, 1, Phase::Draining { since: at(450) }),
+            (9000, true, true, 1, 1, Phase::Draining { since: at(450) }),
+            (9001, true, true, 1, 0, Phase::Stopped),
+        ]),
+        ("told to leave before it serves", vec![(0, true, true, 0, 0, Phase::Leaving { since: at(0) })]),
+    ];
+    for (name, steps) in cases {
+        let (mut phases, mut phase) = (Phases::default(), Phase::Starting);
+        for (ms, told_to_leave, listener_closed, open_clients, open_statements, expected) in steps {
+            let listening = true;
+            let seen = Seen {
+                told_to_leave,
+                listening,
+                listener_closed,
+                open_clients,
+                open_statements,
+            };
+            while let Some(next) = phases.advance(at(ms), &seen) {
+                phase = next;
+            }
+            assert_eq!(phase, expected, "{name} at {ms}");
+            assert!(
+                phases.next_at(at(ms)) > at(ms),
+                "{name}: would be looked at again and again"
+            );
+        }
+    }
+}
+
+#[test]
+fn the_log_is_limited_by_topic_and_second() {
+    let mut log = Log::default();
+    let mut admitted = |ms, topic| log.admit(at(ms), topic);
+    for n in 0..20 {
+        assert_eq!(admitted(10_000 + n, "a").is_some(), n < 5, "{n}");
+    }
+    assert_eq!(admitted(10_020, "b"), Some(0), "another topic has its own limit");
+    assert_eq!(admitted(11_000, "a"), Some(15), "and what was left out is told");
+    assert_eq!(admitted(11_001, "a"), Some(0));
+}
+
+#[test]
+fn the_environment_stands_in_for_missing_addresses() {
+    let settings = r#""settings":{"categories":[{"name":"v"}],"family_info":{"freshness":["loose"]}}"#;
+    let given = r#""listen":"127.0.0.1:1","discovery":"127.0.0.1:2""#;
+    #[rustfmt::skip]
+    let cases = [
+        (format!("{{{given},{settings}}}"), Some((1, 2, 192 << 20, 1024))),
+        (format!("{{{settings}}}"), Some((7, 7, 192 << 20, 1024))),
+        (format!(r#"{{{given},{settings},"limits":{{"memory_mb":64,"sockets":256}}}}"#), Some((1, 2, 64 << 20, 256))),
+        (format!(r#"{{{given},{settings},"known":{{"index":"x"}}}}"#), Some((1, 2, 192 << 20, 1024))),
+        (format!(r#"{{"listen":"x",{settings}}}"#), None),
+    ];
+    for (text, expected) in cases {
+        let value = serde_json::from_str(&text).expect("is JSON");
+        let read = config::read(&value, |_| Some("127.0.0.1:7".to_owned())).ok();
+        let read = read.map(|c| (c.listen.port(), c.discovery.port(), c.memory, c.sockets));
+        assert_eq!(read, expected, "{text}");
+    }
+}
--- a/crates/driver/tests/program.rs
+++ b/crates/driver/tests/program.rs
@@ -316,6 +316,40 @@
     assert_eq!(answer(&mut client).0, "E08P01", "and the connection is closed");
 }
 
+/// Against a client that asks on and on and reads nothing: it must not fill the memory, nor keep others waiting,
+/// nor lose an answer.
+#[test]
+fn a_client_that_reads_nothing_is_not_read_either() {
+    const MOST: usize = 48 << 20;
+    let member = member(Manner::Answers);
+    let served = serve("floods", member.address);
+    let (mut flood, mut other) = (served.client(), served.client());
+    flood.set_nonblocking(true).expect("is set");
+    let queries = message(b'Q', b"\0").repeat(10_000);
+    let (mut sent, mut blocked) = (0, 0);
+    while sent < MOST && blocked < 100 {
+        match flood.write(&queries[sent % queries.len()..]) {
+            Ok(n) => (sent, blocked) = (sent + n, 0),
+            Err(e) => {
+                assert_eq!(e.kind(), ErrorKind::WouldBlock);
+                blocked += 1;
+                thread::sleep(Duration::from_millis(5));
+            }
+        }
+    }
+    assert!(sent < MOST, "all was taken in");
+    ask(&mut other, "view");
+    assert_eq!(answer(&mut other).0, "T D C Z");
+    flood.set_nonblocking(false).expect("is set");
+    let (mut unread, mut answers) = (BufReader::with_capacity(1 << 16, flood), 0);
+    while answers < sent / 6 {
+        let mut reply = [0; 11];
+        unread.read_exact(&mut reply).expect("comes");
+        assert_eq!(&reply, b"I\0\0\0\x04Z\0\0\0\x05I");
+        answers += 1;
+    }
+}
+
 #[test]
 fn a_member_that_closes_early_fails_a_write_once() {
     let member = member(Manner::Closes);
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -337,6 +337,28 @@
     }
 }
 
+/// Where executions may not be called off, the late answer still says something of the member.
+#[test]
+fn an_end_behind_the_answer_is_told_to_the_module_alone() {
+    let mut s = Stage::new(
+        &SETTINGS.replace(r#""cancel":true"#, r#""cancel":false"#),
+        1024,
+        192 << 20,
+    );
+    s.client(1);
+    s.asks(1, "c=view,d=5000,cluster=1");
+    let (connection, _) = s.sent().expect("is sent at once");
+    // A waiting one crowds the first out as soon as its SLO time is over.
+    s.client(2);
+    s.asks(2, "c=view,d=5000,cluster=1");
+    s.owner.take(s.now, Input::Client(Client::Gone { client: 1 }));
+    assert!(s.is_open(connection));
+    let before = s.owner.figures.ended_completed;
+    s.reply(connection, rows("late"), Some(false));
+    assert_eq!(s.owner.figures.ended_completed, before + 1);
+    assert_eq!((s.told(1).as_str(), s.owner.figures.completed), ("", 0));
+}
+
 #[test]
 fn what_cannot_be_routed_reaches_no_member() {
     let mut s = stage();
