Reject before half of its time what no member can take

Ruled out: the host (first executions leave within a millisecond, no stale connection, no late wake-up), other rejections (147 reads are told early), aborted writes (10, all with an execution out).

At fault: give_up_the_worthless, which let an unsent write wait until send_by whatever its primary's state. Now it waits so long only while a member that may take it is up.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,6 +16,8 @@
 const HOLD: Span = Span::millis(250);
 /// A wake-up later than this shows that the driver itself was held up.
 const STALL: Span = Span::millis(50);
+/// What nobody can take is told so after this part of its time: its client may do something with the rest.
+const UNSENT: f64 = 0.45;
 /// Before another try where the same members are all there is.
 const RETRY: Span = Span::millis(50);
 /// Members whose state is wanted are probed this often: shunned, lagging, or of a group without a primary.
@@ -158,6 +160,7 @@
             slo_at: now + (w.slo_time - slack - passed),
             answer_by: now + (s.left - slack),
             send_by: now + s.left,
+            unsent_by: now + s.left * UNSENT,
             ..Stmt::default()
         };
         self.stmts.insert(s.id, stmt);
@@ -260,9 +263,7 @@
             self.groups[group].depose(m);
         }
         let f = &mut self.members;
-        f.standing[m] = e.standing;
-        f.zone[m] = e.zone;
-        f.size[m] = e.size;
+        (f.standing[m], f.zone[m], f.size[m]) = (e.standing, e.zone, e.size);
         f.drained[m] |= e.standing == Standing::Draining;
         let g = &mut self.groups[group];
         if e.named_primary && g.primary.is_none() && !f.said_replica[m] {
@@ -372,9 +373,8 @@
 
     /// What becomes of a statement whose execution ended without settling it.
     fn go_on(&mut self, end: &ExecutionEnd, run: &Running) {
-        let Some(s) = self.stmts.get_mut(&end.stmt) else {
-            return;
-        };
+        let held = self.stmts.get_mut(&end.stmt);
+        let Some(s) = held else { return };
         if !never_ran(end.ending) {
             s.doubt = s.doubt.or(Some((run.sent, run.member)));
         }
@@ -424,7 +424,9 @@
             let crowded = waiting || self.groups[s.group].queued().next().is_some();
             let readily = w.repeat == Repeat::Idempotent && crowded;
             let hopeless = self.now >= self.last_chance(s) && (w.late_share == 0.0 || readily);
-            hopeless || (waiting && self.now >= s.send_by)
+            let nowhere = s.executions == 0 && !self.has_place(s, |m| self.fits(m, s));
+            let until = if nowhere { s.unsent_by } else { s.send_by };
+            hopeless || (waiting && self.now >= until)
         });
         over.inspect(|id| self.finish(*id)).is_some()
     }
@@ -453,9 +455,8 @@
     /// A member that owes answers and gives none loses its turns, whatever ails it: a hang, a cut link, an
     /// unlisted death. A lone long statement may be taken for that; the probe that follows soon undoes it.
     fn look_at_members(&mut self) -> bool {
-        let Some(m) = self.watch.ready(self.now) else {
-            return false;
-        };
+        let ready = self.watch.ready(self.now);
+        let Some(m) = ready else { return false };
         if !self.members.shunned[m] && self.overdue_at(m).is_some_and(|at| at <= self.now) {
             self.shun(m);
         }
@@ -518,8 +519,7 @@
         while RULES.iter().any(|rule| rule(self)) {}
         let times = [self.due.first_at(), self.watch.first_at(), self.ask_at];
         let wake = times.into_iter().flatten().min();
-        self.planned = wake;
-        self.results.wake_up = wake;
+        (self.planned, self.results.wake_up) = (wake, wake);
         std::mem::take(&mut self.results)
     }
 
@@ -597,10 +597,14 @@
     }
 
     fn excess(&self, s: &Stmt) -> bool {
-        let g = &self.groups[s.group];
-        let writes = needs_primary(&self.settings, s.workload);
-        let open = |m: &usize| (!writes || g.primary == Some(*m)) && self.may_send(*m) && self.let_in(*m, s);
-        g.primary.is_some() && !g.members.iter().any(open)
+        self.groups[s.group].primary.is_some() && !self.has_place(s, |m| self.let_in(m, s))
+    }
+
+    /// Whether any of the members that such statements go to is open to it.
+    fn has_place(&self, s: &Stmt, open: impl Fn(usize) -> bool) -> bool {
+        let (g, writes) = (&self.groups[s.group], needs_primary(&self.settings, s.workload));
+        let takes = |m: &usize| (!writes || g.primary == Some(*m)) && self.may_send(*m) && open(*m);
+        g.members.iter().any(takes)
     }
 
     fn may_send(&self, m: usize) -> bool {
@@ -682,8 +686,7 @@
         let unheard = f.told_at[m].is_none() && !f.said_replica[m];
         let wanted = unheard || f.shunned[m] || g.wants_primary;
         // An ageing position needs a way back: answers give it, a probe where none come.
-        let checked = self.settings.members_check_reads;
-        let ageing = !checked && g.lacking_until > self.now && Some(m) != g.primary;
+        let ageing = !self.settings.members_check_reads && g.lacking_until > self.now && Some(m) != g.primary;
         let aged_at = f.probe_at[m].max(f.told_at[m].unwrap_or_default() + OVERDUE);
         let at = wanted.then_some(f.probe_at[m]).or(ageing.then_some(aged_at));
         at.filter(|_| self.settings.probes_allowed && self.may_send(m))
@@ -740,7 +743,7 @@
     fn plan(&mut self, id: u32) {
         let s = &self.stmts[&id];
         let times = [self.last_chance(s), s.slo_at, s.hold_until, s.send_by];
-        let ahead = times.into_iter().filter(|at| *at > self.now);
+        let ahead = times.into_iter().chain([s.unsent_by]).filter(|at| *at > self.now);
         let next = ahead.fold(s.answer_by, Point::min);
         let s = self.stmts.get_mut(&id).expect("seen above");
         self.due.put(id, std::mem::replace(&mut s.due, next), Some(next));
@@ -762,8 +765,7 @@
             f.connections[m] = f.open[m];
         }
         f.used_at[m] = self.now;
-        let work = s.work.unwrap_or(self.typical[s.workload]);
-        f.debt[m] = work;
+        f.debt[m] = s.work.unwrap_or(self.typical[s.workload]);
         f.debt_at[m] = self.now;
         self.touched.push(m);
         let (member, until) = (f.id[m], s.answer_by);
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -84,6 +84,31 @@
     assert_eq!(sent_to(&b.see(2501, 2, 2501, true)), [2]);
 }
 
+/// A primary behind a cut link: its writes must not wait until their clients can do nothing any more. Those that
+/// only wait for room go on waiting.
+#[test]
+fn what_nobody_can_take_is_told_before_half_of_its_time() {
+    for (reached, told) in [(false, "rejected"), (true, "")] {
+        let change =
+            |s: &mut Settings| (s.workloads[WRITE].slo_time, s.workloads[WRITE].late_share) = (ms(5000), 0.5);
+        let mut b = bench(&with(change), 3);
+        b.see(0, 1, 0, true);
+        let (first, r) = b.take(1, WRITE);
+        assert_eq!(sent_to(&r), [1]);
+        if !reached {
+            b.end(2, first, 0, 1, NoConnection);
+        }
+        let waits = (0..20)
+            .map(|_| b.take(3, WRITE))
+            .find(|(_, r)| r.executions.is_empty());
+        let (id, r) = waits.expect("one finds no place");
+        assert_eq!(answer(&r, id), "");
+        let before = b.run_until(4, 700);
+        assert_eq!(answer(&before, id), "", "a primary may come back at once");
+        assert_eq!(answer(&b.run_until(701, 1000), id), told, "reached: {reached}");
+    }
+}
+
 #[test]
 fn a_fresh_driver_probes_each_member_once() {
     let mut driver = asterlatch::choice::Driver::new(&settings(), 1, at(0));
