--- a/crates/driver/src/protocol/execution.rs
+++ b/crates/driver/src/protocol/execution.rs
@@ -37,6 +37,9 @@
 /// A query to send, whole.
 pub struct Run(pub Vec<u8>);
 
+/// Severities of errors that end the connection.
+const FATAL: [&str; 2] = ["FATAL", "PANIC"];
+
 #[derive(PartialEq)]
 enum State {
     Greeting,
@@ -154,6 +157,16 @@
             }
             b'E' if !self.complete || !busy => {
                 self.error = messages::error_field(body, b'C').map(str::to_owned);
+                let last = messages::error_field(body, b'S').is_some_and(|s| FATAL.contains(&s));
+                if busy && last && self.error.is_some() {
+                    // Nothing follows such an error, and not every machine closes behind it.
+                    if let Some(reply) = self.whole() {
+                        self.reply(reply, at, out);
+                    }
+                    self.state = State::Over;
+                    out.close = true;
+                    return true;
+                }
                 self.state != State::Idle && self.error.is_some()
             }
             b'Z' if self.state == State::Greeting && self.error.is_none() => {
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -302,7 +302,8 @@
         if !self.members.has_group(marked.group) {
             return Err(comment::NO_GROUP);
         }
-        self.workloads.find(&marked.workload).ok_or(comment::NO_CLASS)
+        let known = self.workloads.find(&asterlatch_settings::word(&marked.workload));
+        known.ok_or(comment::NO_CLASS)
     }
 
     /// Gives a statement its one final answer; a later one finds it gone.
--- a/crates/driver/src/routing/tables.rs
+++ b/crates/driver/src/routing/tables.rs
@@ -3,6 +3,7 @@
 use crate::protocol::roster::{Entry, Status};
 use crate::protocol::vitals;
 use asterlatch::interface::{MemberEntry, Standing};
+use asterlatch_settings::word;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
@@ -69,10 +70,14 @@
         let id = self.names.intern(&e.name);
         self.addresses.resize(self.addresses.len().max(id + 1), None);
         self.addresses[id] = address.or(self.addresses[id]);
-        self.groups.insert(e.group);
+        // One that is gone may come with little more than its name.
+        if e.status != Status::Deleted {
+            self.groups.insert(e.group);
+        }
         Some(MemberEntry {
             id: id as u32,
-            zone: self.zones.intern(&e.zone) as u16,
+            // Settings have lost what their joined lists can't hold, so these names lose it too.
+            zone: self.zones.intern(&word(&e.zone)) as u16,
             group: e.group,
             standing: match e.status {
                 Status::Serving => Standing::Ready,
--- a/crates/driver/tests/protocol.rs
+++ b/crates/driver/tests/protocol.rs
@@ -262,6 +262,7 @@
         ("too far behind", failed("72000", status("as_of", "9")), "72000@9", false),
         ("an error", failed("XX000", vec![]), "XX000", false),
         ("turned away", failed("53300", vec![]), "53300", false),
+        ("an error that ends the connection", message(b'E', b"SFATAL\0C53300\0Mno\0\0"), "53300", true),
         ("two columns", [described(2), row(b"v"), ready.clone()].concat(), "malformed", true),
         ("two rows", [described(1), row(b"v"), row(b"w"), ready.clone()].concat(), "malformed", true),
         ("a row without its description", [row(b"v"), ready.clone()].concat(), "malformed", true),
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -24,8 +24,9 @@
 const START: Point = Point(1_767_225_600_000_000);
 const SETTINGS: &str = r#"{"categories":[
  {"name":"view","idempotency":"retryable","objective_us":500000,"worth":1.0,"late_worth":0.2},
- {"name":"post","idempotency":"fragile","objective_us":1200000,"worth":3.0,"late_worth":0.3}],
- "family_info":{"freshness":["loose","update"],"behind":"hold","answers_stamped":true},
+ {"name":"post","idempotency":"fragile","objective_us":1200000,"worth":3.0,"late_worth":0.3},
+ {"name":"old view","idempotency":"retryable","objective_us":500000,"worth":1.0,"late_worth":0.2}],
+ "family_info":{"freshness":["loose","update","loose"],"behind":"hold","answers_stamped":true},
  "limits":{"cancel":true,"probes":true,"try_limit":10,"conn_idle_us":30000000,"connect_timeout_us":250000,
  "max_retry_after_us":500000},"report":{"fields":["x0","x1"],"how":"on_probe"},"tick_us":5000,"zones":["a"]}"#;
 
@@ -222,7 +223,8 @@
 #[test]
 fn the_answer_of_a_member_goes_to_its_client_once() {
     let mut s = stage();
-    for (fields, address) in [(VIEW, REPLICA), (POST, PRIMARY), (VIEW, REPLICA)] {
+    let spaced = "c=old view,d=900,cluster=1";
+    for (fields, address) in [(VIEW, REPLICA), (POST, PRIMARY), (spaced, REPLICA)] {
         s.asks(1, fields);
         let (connection, at) = s.sent().expect("is sent at once");
         assert_eq!(at, address, "the design's ordinary path");
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -74,10 +74,15 @@
     }
 }
 
+/// A name as the bench's text writes it, where lists are joined by commas.
+pub fn word(name: &str) -> String {
+    name.replace([' ', ','], "_")
+}
+
 fn plain(value: &Value) -> String {
     match value {
         Value::Null => String::new(),
-        Value::String(s) => s.replace([' ', ','], "_"),
+        Value::String(s) => word(s),
         other => other.to_string(),
     }
 }
