Leave discovery's deeply nested answers unread: they would overflow a coroutine's stack

A list has three levels; 16 are read now. Test: lists at and beyond the bound, brackets within a string.

--- a/crates/driver/src/protocol/roster.rs
+++ b/crates/driver/src/protocol/roster.rs
@@ -66,6 +66,30 @@
     })
 }
 
+/// Levels in a list at most; an honest one has three.
+const LEVELS: usize = 16;
+
+/// Whether nothing lies deeper than that. JSON is read level within level, and a coroutine's stack, at whose end
+/// the process dies, has no room for as many levels as the reader would allow.
+fn is_shallow(body: &[u8]) -> bool {
+    let (mut level, mut quoted, mut escaped) = (0usize, false, false);
+    for byte in body {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if quoted => escaped = true,
+            b'"' => quoted = !quoted,
+            b'[' | b'{' if !quoted => level += 1,
+            b']' | b'}' if !quoted => level = level.saturating_sub(1),
+            _ => {}
+        }
+        if level > LEVELS {
+            return false;
+        }
+    }
+    true
+}
+
 pub fn read(body: &[u8]) -> Option<Roster> {
-    from_value(&serde_json::from_slice(body).ok()?)
+    let shallow = Some(body).filter(|b| is_shallow(b))?;
+    from_value(&serde_json::from_slice(shallow).ok()?)
 }
--- a/crates/driver/tests/protocol.rs
+++ b/crates/driver/tests/protocol.rs
@@ -494,6 +494,9 @@
         (r#"{"index":4}"#.to_owned(), None),
         (r#"{"endpoints":[]}"#.to_owned(), None),
         ("[]".to_owned(), None),
+        (listed("").replacen('{', &format!(r#"{{"x":{}1{},"#, "[".repeat(15), "]".repeat(15)), 1), Some((0, 0))),
+        (listed("").replacen('{', &format!(r#"{{"x":{}1{},"#, "[".repeat(16), "]".repeat(16)), 1), None),
+        (listed("").replacen('{', &format!(r#"{{"x":"\\\"{}","#, "[".repeat(99)), 1), Some((0, 0))),
         ("{".to_owned(), None),
     ];
     for (text, expected) in cases {
