Let many drivers wait longer for a member that they cannot reach

The part of its time that a statement waits now grows with that gap: 0.45 up to ten drivers, all of it from 23 on, where decisions are those of the text before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,7 +16,7 @@
 const HOLD: Span = Span::millis(250);
 /// A wake-up later than this shows that the driver itself was held up.
 const STALL: Span = Span::millis(50);
-/// What nobody can take is told so after this part of its time: its client may do something with the rest.
+/// What nobody can take is told after this part of its time; later where drivers are many and probes rarer.
 const UNSENT: f64 = 0.45;
 /// Before another try where the same members are all there is.
 const RETRY: Span = Span::millis(50);
@@ -160,7 +160,7 @@
             slo_at: now + (w.slo_time - slack - passed),
             answer_by: now + (s.left - slack),
             send_by: now + s.left,
-            unsent_by: now + s.left * UNSENT,
+            unsent_by: now + s.left * (UNSENT * drivers * PROBE_EACH.ratio(PROBE_GAP)).clamp(UNSENT, 1.0),
             ..Stmt::default()
         };
         self.stmts.insert(s.id, stmt);
