Call an execution never sent only when its connection says so

Seen while reading: when a connection was still coming up at its time-out, the owner told the module that nothing ran (errands.rs, overdue), while the connection's coroutine, on the other thread, may be writing the statement in that moment: a non-idempotent write could then run twice. The connection is hung up on now and its end waited for, which says whether the last byte was written. Also: an error in a greeting ends the connection at once, also where the member doesn't close it. Tests: three cases of a time-out while connecting, and greetings.

--- a/crates/driver/src/protocol/execution.rs
+++ b/crates/driver/src/protocol/execution.rs
@@ -158,9 +158,9 @@
             b'E' if !self.complete || !busy => {
                 self.error = messages::error_field(body, b'C').map(str::to_owned);
                 let last = messages::error_field(body, b'S').is_some_and(|s| FATAL.contains(&s));
-                if busy && last && self.error.is_some() {
+                if self.state == State::Greeting || (busy && last && self.error.is_some()) {
                     // Nothing follows such an error, and not every machine closes behind it.
-                    if let Some(reply) = self.whole() {
+                    if let Some(reply) = self.whole().filter(|_| busy) {
                         self.reply(reply, at, out);
                     }
                     self.state = State::Over;
--- a/crates/driver/src/routing/endings.rs
+++ b/crates/driver/src/routing/endings.rs
@@ -28,15 +28,6 @@
     }
 }
 
-/// How an execution ended that the driver stopped waiting for.
-pub fn of_time(up: bool) -> Ending {
-    if up {
-        Ending::TimedOut
-    } else {
-        Ending::NoConnection
-    }
-}
-
 pub fn count(figures: &mut Figures, ending: Ending) {
     *match ending {
         Ending::Completed => &mut figures.ended_completed,
--- a/crates/driver/src/routing/errands.rs
+++ b/crates/driver/src/routing/errands.rs
@@ -1,6 +1,5 @@
 //! What members' connections are busy with: executions and probes, each with the time at which it ends.
 
-use super::endings;
 use crate::protocol::execution::Run;
 use crate::transport::pool::Pool;
 use crate::transport::stream::Line;
@@ -161,11 +160,18 @@
         self.end(connection)
     }
 
-    /// The first that has been waited for long enough, and how it ended.
-    pub fn overdue(&mut self, now: Point) -> Option<(Errand, Ending)> {
-        let (_, connection) = self.ends.first().copied().filter(|(at, _)| *at <= now)?;
-        let errand = self.end(connection)?;
-        Some((errand, endings::of_time(errand.up)))
+    /// The first whose answer has been waited for long enough. Where the connection was still coming up it is only
+    /// hung up on, and its end waited for: the statement may go out in this very moment, and only the connection
+    /// knows whether it did.
+    pub fn overdue(&mut self, now: Point) -> Option<Errand> {
+        while let Some((at, connection)) = self.ends.first().copied().filter(|(at, _)| *at <= now) {
+            if self.busy.get(&connection).is_some_and(|e| e.up) {
+                return self.end(connection);
+            }
+            self.ends.remove(&(at, connection));
+            self.pool.remove(connection);
+        }
+        None
     }
 
     pub fn end_idle(&mut self, now: Point) {
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -162,8 +162,8 @@
 
     /// Does what is due by the clock.
     pub fn reach(&mut self, now: Point) {
-        while let Some((errand, ending)) = self.errands.overdue(now) {
-            self.end(errand, now, ending, Sighting::default());
+        while let Some(errand) = self.errands.overdue(now) {
+            self.end(errand, now, Ending::TimedOut, Sighting::default());
             self.tell_ended(now);
         }
         if self.module_wakes.is_some_and(|at| at <= now) {
--- a/crates/driver/tests/protocol.rs
+++ b/crates/driver/tests/protocol.rs
@@ -350,6 +350,12 @@
             hear(&mut member, bytes, bytes.len(), &mut out);
         }
         (0..left).for_each(|_| member.written(&mut out));
+        // A greeting that is no welcome is not waited on.
+        assert_eq!(
+            out.close,
+            name.contains("refused") || name.contains("password"),
+            "{name}"
+        );
         member.ended(AT, &mut out);
         assert_eq!(member_news(&out.notices), told, "{name}");
     }
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -252,7 +252,8 @@
         Error(&'static str),
         Malformed,
         Down(bool),
-        Nothing,
+        /// Nothing in time; what the connection tells when it was hung up on.
+        Nothing(Option<bool>),
     }
     #[rustfmt::skip]
     let cases = [
@@ -262,7 +263,9 @@
         ("lost behind the last byte", Came::Down(true), "40003", false),
         ("lost before the last byte", Came::Down(false), "", true),
         ("turned away", Came::Error("53300"), "", true),
-        ("no connection in time", Came::Nothing, "", true),
+        ("no connection in time", Came::Nothing(Some(false)), "", true),
+        ("a connection at the last moment", Came::Nothing(Some(true)), "40003", false),
+        ("no word of the connection yet", Came::Nothing(None), "", false),
     ];
     for (name, came, told, again) in cases {
         let mut s = stage();
@@ -273,7 +276,7 @@
         s.asks(1, POST);
         let (connection, _) = s.sent().expect("is sent at once");
         match came {
-            Came::Nothing => s.pass(250),
+            Came::Nothing(_) => s.pass(250),
             _ => s.heard(Member::Up { connection }),
         }
         match came {
@@ -284,7 +287,16 @@
                 at: s.now,
                 written,
             }),
-            Came::Nothing => {}
+            Came::Nothing(written) => {
+                assert!(!s.is_open(connection), "is hung up on");
+                if let Some(written) = written {
+                    s.heard(Member::Down {
+                        connection,
+                        at: s.now,
+                        written,
+                    });
+                }
+            }
         }
         s.pass(100);
         assert_eq!(s.told(1), told, "{name}");
