--- a/crates/driver/tests/program.rs
+++ b/crates/driver/tests/program.rs
@@ -191,10 +191,14 @@
     path: PathBuf,
 }
 
-/// Starts the program, and waits until it listens.
 fn serve(name: &str, member: SocketAddr) -> Served {
     // Bound for a moment, so that the system picks the port.
     let listen = listener().1;
+    serve_at(listen, name, member)
+}
+
+/// Starts the program, and waits until it listens.
+fn serve_at(listen: SocketAddr, name: &str, member: SocketAddr) -> Served {
     let path = config(name, &described(listen, silent_discovery(), member));
     let child = program("serve", &path).spawn().expect("starts");
     let served = Served { child, listen, path };
@@ -399,11 +403,21 @@
     member.go.send(()).expect("waits");
     assert_eq!(answer(&mut client), ("T D C Z".to_owned(), b"\x00value".to_vec()));
     assert_eq!(answer(&mut client).0, "", "and then its connection is closed");
+    let listen = served.listen;
     let (good, log) = served.finish();
     assert!(
         good && log.contains("Stopped") && log.contains(" completed=1 "),
         "{log}"
     );
+    // And it comes back at its address.
+    let again = serve_at(listen, "sigterm-again", member.address);
+    let mut client = again.client();
+    ask(&mut client, "view");
+    assert!(member
+        .came
+        .recv_timeout(PATIENCE)
+        .expect("came")
+        .contains("c=view"));
 }
 
 #[test]
