--- a/crates/driver/src/program/config.rs
+++ b/crates/driver/src/program/config.rs
@@ -60,7 +60,7 @@
     let settings = value.get("settings").ok_or("no settings")?;
     let settings = Pairs::from_json(settings).and_then(|pairs| asterlatch_settings::read(&pairs))?;
     if settings.0.workloads.is_empty() {
-        return Err("the settings name no class of statements".to_owned());
+        return Err("the settings name no workload".to_owned());
     }
     Ok(Config {
         name: text("name", "RELAY_NAME").unwrap_or_default(),
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -80,7 +80,7 @@
     std::net::TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
     let members = config.known.as_ref().map_or(0, |k| k.entries.len());
     let (settings, _) = &config.settings;
-    let classes = settings.workloads.len();
-    println!("{}: {classes} classes, {members} members known", config.name);
+    let workloads = settings.workloads.len();
+    println!("{}: {workloads} workloads, {members} members known", config.name);
     Ok(())
 }
--- a/crates/driver/src/protocol/comment.rs
+++ b/crates/driver/src/protocol/comment.rs
@@ -38,7 +38,7 @@
     "the comment lacks one of the fields id, c, d and cluster",
 );
 pub const NO_GROUP: Unreadable = unreadable("22023", "no member of this group is known");
-pub const NO_CLASS: Unreadable = unreadable("22023", "no such class of statements");
+pub const NO_WORKLOAD: Unreadable = unreadable("22023", "no such workload");
 pub const TOO_LARGE: Unreadable = unreadable("54000", "the statement or its value is too large");
 
 /// The first quoted literal, with doubled quotes made one, and the longest one's length.
--- a/crates/driver/src/protocol/messages.rs
+++ b/crates/driver/src/protocol/messages.rs
@@ -171,7 +171,7 @@
 /// What comes before the first typed message.
 pub enum Opening<'a> {
     Partial,
-    /// A wish for encryption, which is refused with one letter.
+    /// A wish for encryption, which is declined with one letter.
     Encryption {
         whole: usize,
     },
--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -36,8 +36,8 @@
     },
     /// Closes once nothing is out.
     Leave,
-    /// Refuses whoever connected, before any statement.
-    Refuse,
+    /// Ends the connection of whoever finds no room, before any statement.
+    TurnAway,
 }
 
 /// Bytes that a client may have sent ahead of its answer before it isn't read any further.
@@ -228,8 +228,8 @@
                 self.leaving = true;
                 self.end_if_leaving(out);
             }
-            Say::Refuse if self.state == State::Over => {}
-            Say::Refuse => self.fatal("53300", "too many connections", out),
+            Say::TurnAway if self.state == State::Over => {}
+            Say::TurnAway => self.fatal("53300", "too many connections", out),
         }
     }
 
--- a/crates/driver/src/routing/clients.rs
+++ b/crates/driver/src/routing/clients.rs
@@ -10,7 +10,7 @@
     stmt: Option<u32>,
     idle_since: Option<Point>,
     /// It was told that there is no room for it, so nothing it sends is taken.
-    refused: bool,
+    turned_away: bool,
 }
 
 pub struct Clients {
@@ -43,8 +43,8 @@
         self.open.len()
     }
 
-    /// Takes in a client that the kernel has accepted. Where all are busy beyond the bound it is refused before
-    /// it can send anything: a refusal after that could come for a statement that runs already.
+    /// Takes in a client that the kernel has accepted. Where all are busy beyond the bound it is turned away
+    /// before it can send anything: that word could come for a statement that runs already.
     pub fn arrive(&mut self, now: Point, id: u32, line: Line<Say>) -> Room {
         if self.leaving {
             line.tell(Say::Leave);
@@ -54,14 +54,14 @@
         } else if self.free_one() {
             Room::Made
         } else {
-            line.tell(Say::Refuse);
+            line.tell(Say::TurnAway);
             Room::None
         };
         let client = Client {
             line,
             stmt: None,
             idle_since: Some(now),
-            refused: room == Room::None,
+            turned_away: room == Room::None,
         };
         self.open.insert(id, client);
         self.idle.insert((now, id));
@@ -99,7 +99,7 @@
     /// It has sent a statement; whether that may be taken.
     pub fn asks(&mut self, id: u32) -> bool {
         self.occupy(id);
-        self.open.get(&id).is_some_and(|c| !c.refused)
+        self.open.get(&id).is_some_and(|c| !c.turned_away)
     }
 
     pub fn waits_for(&mut self, id: u32, stmt: Option<u32>) {
--- a/crates/driver/src/routing/figures.rs
+++ b/crates/driver/src/routing/figures.rs
@@ -16,7 +16,7 @@
 figures! {
     clients_accepted,
     accepts_failed,
-    clients_refused,
+    clients_turned_away,
     clients_closed_for_room,
     statements_taken,
     statements_unreadable,
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -217,7 +217,7 @@
                 match self.clients.arrive(now, id, line) {
                     Room::Free => {}
                     Room::Made => self.figures.clients_closed_for_room += 1,
-                    Room::None => self.figures.clients_refused += 1,
+                    Room::None => self.figures.clients_turned_away += 1,
                 }
             }
             Arrival::Failed(e) => {
@@ -279,7 +279,7 @@
             return self.clients.say(client, endings::rejected(Span(0)));
         }
         self.figures.statements_taken += 1;
-        let (id, deadline) = self.statements.hold(client, text, &marked, at);
+        let (id, times_out) = self.statements.hold(client, text, &marked, at);
         self.clients.waits_for(client, Some(id));
         let sessions = matches!(self.freshness[workload], Freshness::Session | Freshness::Write);
         let key = marked.key.as_deref().filter(|_| sessions);
@@ -290,7 +290,7 @@
             group: marked.group,
             session: key.map_or(0, session),
             repeat: marked.repeat,
-            left: deadline - now,
+            left: times_out - now,
             work: None,
             written_ago: marked.after.and_then(vitals::unix).map(|after| now - after),
         };
@@ -303,7 +303,7 @@
             return Err(comment::NO_GROUP);
         }
         let known = self.workloads.find(&asterlatch_settings::word(&marked.workload));
-        known.ok_or(comment::NO_CLASS)
+        known.ok_or(comment::NO_WORKLOAD)
     }
 
     /// Gives a statement its one final answer; a later one finds it gone.
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -10,7 +10,7 @@
     client: u32,
     text: Vec<u8>,
     left_at: Range<usize>,
-    deadline: Point,
+    times_out: Point,
     executions: u8,
 }
 
@@ -46,20 +46,20 @@
         self.bytes + text.len() <= self.most_bytes
     }
 
-    /// Holds a statement that came at `at`, and gives it an id and a deadline.
+    /// Holds a statement that came at `at`, and gives it an id; says that and its statement timeout.
     pub fn hold(&mut self, client: u32, text: Vec<u8>, marked: &Marked, at: Point) -> (u32, Point) {
         self.next += 1;
         self.bytes += text.len();
-        let deadline = at + Span::millis(marked.left_ms.min(LONGEST_WAIT_MS));
+        let times_out = at + Span::millis(marked.left_ms.min(LONGEST_WAIT_MS));
         let held = Held {
             client,
             text,
             left_at: marked.left_at.clone(),
-            deadline,
+            times_out,
             executions: 0,
         };
         self.held.insert(self.next, held);
-        (self.next, deadline)
+        (self.next, times_out)
     }
 
     /// Lets go of one that has its final answer, or needs none; says whose it was.
@@ -73,7 +73,7 @@
     pub fn execute(&mut self, id: u32, until: Point) -> Option<(u8, Point)> {
         let held = self.held.get_mut(&id)?;
         held.executions += 1;
-        Some((held.executions - 1, until.min(held.deadline)))
+        Some((held.executions - 1, until.min(held.times_out)))
     }
 
     /// What goes to a member that is waited for until then. Rounded down, so that no member works for longer
--- a/crates/driver/tests/program.rs
+++ b/crates/driver/tests/program.rs
@@ -185,32 +185,32 @@
     )
 }
 
-struct Served {
+struct Program {
     child: Child,
     listen: SocketAddr,
     path: PathBuf,
 }
 
-fn serve(name: &str, member: SocketAddr) -> Served {
+fn serve(name: &str, member: SocketAddr) -> Program {
     // Bound for a moment, so that the system picks the port.
     let listen = listener().1;
     serve_at(listen, name, member)
 }
 
 /// Starts the program, and waits until it listens.
-fn serve_at(listen: SocketAddr, name: &str, member: SocketAddr) -> Served {
+fn serve_at(listen: SocketAddr, name: &str, member: SocketAddr) -> Program {
     let path = config(name, &described(listen, silent_discovery(), member));
     let child = program("serve", &path).spawn().expect("starts");
-    let served = Served { child, listen, path };
+    let process = Program { child, listen, path };
     let end = Instant::now() + PATIENCE;
     while TcpStream::connect(listen).is_err() {
         assert!(Instant::now() < end, "the program doesn't listen");
         thread::sleep(Duration::from_millis(5));
     }
-    served
+    process
 }
 
-impl Served {
+impl Program {
     fn signal(&self, name: &str) {
         let command = format!("kill -{name} {}", self.child.id());
         let sent = Command::new("sh").arg("-c").arg(command).status();
@@ -251,7 +251,7 @@
     }
 }
 
-impl Drop for Served {
+impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
     }
@@ -282,9 +282,9 @@
     (said.join(" "), row)
 }
 
-fn ask(stream: &mut TcpStream, class: &str) -> String {
+fn ask(stream: &mut TcpStream, workload: &str) -> String {
     let text =
-        format!("/* id=1f,c={class},d=25000,cluster=1,k=7 */ SELECT blob FROM rows WHERE handle = 'x'");
+        format!("/* id=1f,c={workload},d=25000,cluster=1,k=7 */ SELECT blob FROM rows WHERE handle = 'x'");
     stream
         .write_all(&message(b'Q', format!("{text}\0").as_bytes()))
         .expect("is written");
@@ -292,10 +292,10 @@
 }
 
 #[test]
-fn a_served_read_and_the_counters() {
+fn a_read_and_the_counters() {
     let member = member(Manner::Answers);
-    let mut served = serve("served", member.address);
-    let mut client = served.client();
+    let mut process = serve("reads", member.address);
+    let mut client = process.client();
     for _ in 0..3 {
         let text = ask(&mut client, "view");
         assert_eq!(answer(&mut client), ("T D C Z".to_owned(), b"\x00value".to_vec()));
@@ -307,8 +307,8 @@
             "{came}"
         );
     }
-    served.signal("USR1");
-    let mut lines = BufReader::new(served.child.stderr.as_mut().expect("piped")).lines();
+    process.signal("USR1");
+    let mut lines = BufReader::new(process.child.stderr.as_mut().expect("piped")).lines();
     let counters = lines
         .find_map(|l| l.ok().filter(|l| l.contains("counters")))
         .expect("a line of counters");
@@ -326,8 +326,8 @@
 fn a_client_that_reads_nothing_is_not_read_either() {
     const MOST: usize = 48 << 20;
     let member = member(Manner::Answers);
-    let served = serve("floods", member.address);
-    let (mut flood, mut other) = (served.client(), served.client());
+    let process = serve("floods", member.address);
+    let (mut flood, mut other) = (process.client(), process.client());
     flood.set_nonblocking(true).expect("is set");
     let queries = message(b'Q', b"\0").repeat(10_000);
     let (mut sent, mut blocked) = (0, 0);
@@ -357,8 +357,8 @@
 #[test]
 fn a_member_that_closes_early_fails_a_write_once() {
     let member = member(Manner::Closes);
-    let served = serve("closes", member.address);
-    let mut client = served.client();
+    let process = serve("closes", member.address);
+    let mut client = process.client();
     ask(&mut client, "post");
     assert_eq!(answer(&mut client).0, "E40003 Z");
     member.came.recv_timeout(PATIENCE).expect("came once");
@@ -374,8 +374,8 @@
 #[test]
 fn a_client_that_leaves_has_its_execution_called_off() {
     let member = member(Manner::Waits);
-    let served = serve("leaves", member.address);
-    let mut client = served.client();
+    let process = serve("leaves", member.address);
+    let mut client = process.client();
     ask(&mut client, "view");
     assert!(member
         .came
@@ -389,22 +389,22 @@
 #[test]
 fn what_was_taken_is_answered_before_the_program_leaves() {
     let member = member(Manner::Waits);
-    let served = serve("sigterm", member.address);
-    let (mut client, mut idle) = (served.client(), served.client());
+    let process = serve("sigterm", member.address);
+    let (mut client, mut idle) = (process.client(), process.client());
     ask(&mut client, "post");
     assert!(member
         .came
         .recv_timeout(PATIENCE)
         .expect("came")
         .contains("c=post"));
-    served.signal("TERM");
+    process.signal("TERM");
     // The idle one is let go without a word, which also shows that the program has begun to drain.
     assert_eq!(answer(&mut idle).0, "");
     member.go.send(()).expect("waits");
     assert_eq!(answer(&mut client), ("T D C Z".to_owned(), b"\x00value".to_vec()));
     assert_eq!(answer(&mut client).0, "", "and then its connection is closed");
-    let listen = served.listen;
-    let (good, log) = served.finish();
+    let listen = process.listen;
+    let (good, log) = process.finish();
     assert!(
         good && log.contains("Stopped") && log.contains(" completed=1 "),
         "{log}"
@@ -433,7 +433,11 @@
             Some(r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1"}"#.to_owned()),
             "settings",
         ),
-        ("no class", Some(good.replace("categories", "other")), "no class"),
+        (
+            "no workload",
+            Some(good.replace("categories", "other")),
+            "no workload",
+        ),
         (
             "no address",
             Some(good.replacen(&free.to_string(), "nowhere", 1)),
@@ -464,5 +468,5 @@
     let path = config("good", &good);
     let Output { status, stdout, .. } = program("check", &path).output().expect("ends");
     let _ = std::fs::remove_file(&path);
-    assert!(status.success() && String::from_utf8_lossy(&stdout).contains("2 classes, 1 members"));
+    assert!(status.success() && String::from_utf8_lossy(&stdout).contains("2 workloads, 1 members"));
 }
--- a/crates/driver/tests/protocol.rs
+++ b/crates/driver/tests/protocol.rs
@@ -150,7 +150,7 @@
         (fail, "E40003 Z", true),
         // The second answer to the third, and whatever else comes after the end.
         (Say::Rows(rows.clone()), "", true),
-        (Say::Refuse, "", true),
+        (Say::TurnAway, "", true),
     ];
     for (n, (say, said, close)) in steps.into_iter().enumerate() {
         session.told(say, AT, &mut out);
@@ -173,7 +173,7 @@
     for (before, say, said) in [
         (Vec::new(), Say::Leave, ""),
         (greeted(), Say::Leave, ""),
-        (Vec::new(), Say::Refuse, "E53300"),
+        (Vec::new(), Say::TurnAway, "E53300"),
     ] {
         let (mut session, mut out) = (Session::new(1), Outbox::default());
         hear(&mut session, &before, 1000, &mut out);
@@ -239,8 +239,8 @@
 #[test]
 fn members_answers_are_told_apart() {
     let ready = message(b'Z', b"I");
-    let served = [described(1), row(b"v"), message(b'C', b"SELECT 1\0")].concat();
-    let ok = |more: Vec<u8>| [&served[..], &more, &ready].concat();
+    let answer = [described(1), row(b"v"), message(b'C', b"SELECT 1\0")].concat();
+    let ok = |more: Vec<u8>| [&answer[..], &more, &ready].concat();
     let failed = |code: &str, more: Vec<u8>| [error(code), more, ready.clone()].concat();
     let large = [
         described(1),
@@ -271,7 +271,7 @@
         ("ready with nothing said", ready.clone(), "malformed", true),
         ("an empty answer", [message(b'I', b""), ready.clone()].concat(), "malformed", true),
         ("an error without a code", [message(b'E', b"SERROR\0\0"), ready.clone()].concat(), "malformed", true),
-        ("an error behind the row", [&served[..], &error("XX000"), &ready].concat(), "malformed", true),
+        ("an error behind the row", [&answer[..], &error("XX000"), &ready].concat(), "malformed", true),
         ("a message of no length", vec![b'T', 0, 0, 0, 0], "malformed", true),
         ("longer than any answer", vec![b'D', 0, 2, 0, 0], "malformed", true),
         ("not the protocol at all", b"HTTP/1.1 400 Bad Request\r\n\r\n".to_vec(), "malformed", true),
@@ -328,7 +328,7 @@
     let cases = [
         ("before it came up", vec![], 0, vec!["unwritten"]),
         ("in the greeting", vec![], 1, vec!["unwritten"]),
-        ("refused in the greeting", vec![error("53300")], 1, vec!["unwritten"]),
+        ("turned away in the greeting", vec![error("53300")], 1, vec!["unwritten"]),
         ("a password asked for", vec![message(b'R', &[0, 0, 0, 3])], 1, vec!["unwritten"]),
         ("before the query's last byte", vec![greeting.clone()], 1, vec!["up", "unwritten"]),
         ("after it", vec![greeting.clone()], 2, vec!["up", "lost"]),
@@ -353,7 +353,7 @@
         // A greeting that is no welcome is not waited on.
         assert_eq!(
             out.close,
-            name.contains("refused") || name.contains("password"),
+            name.contains("turned away") || name.contains("password"),
             "{name}"
         );
         member.ended(AT, &mut out);
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -185,7 +185,7 @@
                 hold_off_ms.map_or(String::new(), |ms| format!("+{ms}"))
             ),
             Say::Leave => "leave".to_owned(),
-            Say::Refuse => "refuse".to_owned(),
+            Say::TurnAway => "turned away".to_owned(),
         });
         words.collect::<Vec<_>>().join(" ")
     }
@@ -417,11 +417,11 @@
     );
     s.asks(21, "c=view,d=60000,cluster=1");
     s.client(22);
-    assert_eq!(s.told(22), "refuse", "none is idle");
+    assert_eq!(s.told(22), "turned away", "none is idle");
     s.asks(22, VIEW);
     assert_eq!(
         s.owner.figures.statements_taken, 20,
-        "what the refused one sends is not taken"
+        "what one that was turned away sends is not taken"
     );
     assert!(
         s.dialled.borrow().len() <= 10,
