Name phases plainly in the log; counts of statements that never overflow

A line of the log showed a phase with its point in time as code prints it. Ids of statements and numbers of executions wrap now instead of ending a checked build.

--- a/crates/driver/src/program/phases.rs
+++ b/crates/driver/src/program/phases.rs
@@ -18,6 +18,18 @@
     Stopped,
 }
 
+impl Phase {
+    pub fn name(self) -> &'static str {
+        match self {
+            Phase::Starting => "starting",
+            Phase::Serving => "serving",
+            Phase::Leaving { .. } => "leaving",
+            Phase::Draining { .. } => "draining",
+            Phase::Stopped => "stopped",
+        }
+    }
+}
+
 /// How long clients may still arrive once the process was told to leave.
 const ARRIVALS: Span = Span::millis(450);
 
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -56,7 +56,7 @@
             open_statements: owner.open_statements(),
         };
         while let Some(phase) = phases.advance(now, &seen) {
-            log!(owner.observer, now, "phase", "{name} is {phase:?}");
+            log!(owner.observer, now, "phase", "{name} is {}", phase.name());
             match phase {
                 Phase::Draining { .. } => owner.send_clients_away(),
                 Phase::Stopped => return None,
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -48,7 +48,7 @@
 
     /// Holds a statement that came at `at`, and gives it an id; says that and its statement timeout.
     pub fn hold(&mut self, client: u32, text: Vec<u8>, marked: &Marked, at: Point) -> (u32, Point) {
-        self.next += 1;
+        self.next = self.next.wrapping_add(1);
         self.bytes += text.len();
         let times_out = at + Span::millis(marked.left_ms.min(LONGEST_WAIT_MS));
         let held = Held {
@@ -72,8 +72,10 @@
     /// The number of its next execution, and until when that may be waited for.
     pub fn execute(&mut self, id: u32, until: Point) -> Option<(u8, Point)> {
         let held = self.held.get_mut(&id)?;
-        held.executions += 1;
-        Some((held.executions - 1, until.min(held.times_out)))
+        // As the module numbers them.
+        let number = held.executions;
+        held.executions = number.wrapping_add(1);
+        Some((number, until.min(held.times_out)))
     }
 
     /// What goes to a member that is waited for until then. Rounded down, so that no member works for longer
