--- a/crates/driver/tests/program.rs
+++ b/crates/driver/tests/program.rs
@@ -57,6 +57,13 @@
     go: Sender<()>,
 }
 
+impl Member {
+    /// The next statement that came, or that one was ended.
+    fn told(&self) -> String {
+        self.came.recv_timeout(PATIENCE).expect("something comes")
+    }
+}
+
 fn member(manner: Manner) -> Member {
     let (listener, address) = listener();
     let (tell, came) = channel();
@@ -299,7 +306,7 @@
     for _ in 0..3 {
         let text = ask(&mut client, "view");
         assert_eq!(answer(&mut client), ("T D C Z".to_owned(), b"\x00value".to_vec()));
-        let came = member.came.recv_timeout(PATIENCE).expect("came");
+        let came = member.told();
         // All but the time left passes unchanged.
         let (head, tail) = text.split_once("d=25000").expect("has a time");
         assert!(
@@ -361,7 +368,7 @@
     let mut client = process.client();
     ask(&mut client, "post");
     assert_eq!(answer(&mut client).0, "E40003 Z");
-    member.came.recv_timeout(PATIENCE).expect("came once");
+    member.told();
     ask(&mut client, "view");
     // Idempotent: may be tried again, and is rejected in the end.
     assert_eq!(answer(&mut client).0, "E53300 Z");
@@ -377,13 +384,9 @@
     let process = serve("leaves", member.address);
     let mut client = process.client();
     ask(&mut client, "view");
-    assert!(member
-        .came
-        .recv_timeout(PATIENCE)
-        .expect("came")
-        .contains("c=view"));
+    assert!(member.told().contains("c=view"));
     drop(client);
-    assert_eq!(member.came.recv_timeout(PATIENCE).expect("is told"), "ended");
+    assert_eq!(member.told(), "ended");
 }
 
 #[test]
@@ -392,11 +395,7 @@
     let process = serve("sigterm", member.address);
     let (mut client, mut idle) = (process.client(), process.client());
     ask(&mut client, "post");
-    assert!(member
-        .came
-        .recv_timeout(PATIENCE)
-        .expect("came")
-        .contains("c=post"));
+    assert!(member.told().contains("c=post"));
     process.signal("TERM");
     // The idle one is let go without a word, which also shows that the program has begun to drain.
     assert_eq!(answer(&mut idle).0, "");
@@ -413,11 +412,7 @@
     let again = serve_at(listen, "sigterm-again", member.address);
     let mut client = again.client();
     ask(&mut client, "view");
-    assert!(member
-        .came
-        .recv_timeout(PATIENCE)
-        .expect("came")
-        .contains("c=view"));
+    assert!(member.told().contains("c=view"));
 }
 
 #[test]
