--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -385,6 +385,19 @@
         s.asks(1, fields);
         assert_eq!((s.told(1).as_str(), s.sent()), (code, None), "{fields}");
     }
+    // An entry of one that is gone, with little more than its name, makes no group known.
+    let mut gone = entry("gone", Status::Deleted, false);
+    (gone.group, gone.address) = (0, String::new());
+    let change = list(2, vec![gone]);
+    s.owner.learn_roster(
+        s.now,
+        &Roster {
+            whole: false,
+            ..change
+        },
+    );
+    s.asks(1, "c=view,d=900,cluster=0");
+    assert_eq!((s.told(1).as_str(), s.sent()), ("22023", None));
     let text = b"SELECT 1".to_vec();
     s.owner.take(
         s.now,
