Read through: sightings joined in one place, statements kept as checked text, less rebuilding

Both hosts joined what an answer and its report say with code of their own; it is a function of the sighting now. A statement's text was checked for its encoding twice, once a layer. A connection found stale had its errand taken apart and put together again as it was. Closing a dialogue and hashing a text stood in several places. Behaviour and what the tests assert are the same.

--- a/crates/driver/src/program/config.rs
+++ b/crates/driver/src/program/config.rs
@@ -1,11 +1,10 @@
 //! What a driver is told at its start.
 
 use crate::protocol::roster::{self, Roster};
+use crate::routing::tables::hashed;
 use asterlatch::interface::Settings;
 use asterlatch_settings::{Decoding, Pairs};
 use serde_json::Value;
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 pub struct Config {
@@ -25,11 +24,7 @@
 
 /// The seed is read as a hexadecimal number where it is one, and is hashed otherwise.
 fn seed(text: &str) -> u64 {
-    u64::from_str_radix(text, 16).unwrap_or_else(|_| {
-        let mut hasher = DefaultHasher::new();
-        text.hash(&mut hasher);
-        hasher.finish()
-    })
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| hashed(text))
 }
 
 /// Reads the file at `path`; the environment's words on name and addresses stand where the file has none.
--- a/crates/driver/src/protocol/execution.rs
+++ b/crates/driver/src/protocol/execution.rs
@@ -105,6 +105,10 @@
         if self.sent {
             self.reply(Reply::Malformed, at, out);
         }
+        self.close(out);
+    }
+
+    fn close(&mut self, out: &mut Outbox<Heard>) {
         self.state = State::Over;
         out.close = true;
     }
@@ -163,8 +167,7 @@
                     if let Some(reply) = self.whole().filter(|_| busy) {
                         self.reply(reply, at, out);
                     }
-                    self.state = State::Over;
-                    out.close = true;
+                    self.close(out);
                     return true;
                 }
                 self.state != State::Idle && self.error.is_some()
--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -9,10 +9,10 @@
     /// A statement, as it came, read whole at this time.
     Statement {
         client: u32,
-        text: Vec<u8>,
+        text: String,
         at: Point,
     },
-    /// The connection sits between statements since then, or no longer does.
+    /// The connection sits between statements since then.
     Idle {
         client: u32,
         since: Point,
@@ -69,12 +69,16 @@
         }
     }
 
-    fn fatal(&mut self, code: &str, message: &str, out: &mut Outbox<Heard>) {
-        messages::put_error(&mut out.bytes, "FATAL", code, message, None);
+    fn close(&mut self, out: &mut Outbox<Heard>) {
         out.close = true;
         self.state = State::Over;
     }
 
+    fn fatal(&mut self, code: &str, message: &str, out: &mut Outbox<Heard>) {
+        messages::put_error(&mut out.bytes, "FATAL", code, message, None);
+        self.close(out);
+    }
+
     fn malformed(&mut self, message: &str, out: &mut Outbox<Heard>) {
         out.notices.push(Heard::Malformed);
         self.fatal("08P01", message, out);
@@ -101,8 +105,7 @@
                 whole
             }
             Opening::Cancel => {
-                out.close = true;
-                self.state = State::Over;
+                self.close(out);
                 0
             }
             Opening::Malformed => {
@@ -148,7 +151,7 @@
                         messages::put_ready(&mut out.bytes);
                     }
                     Some(text) => {
-                        let text = text.as_bytes().to_vec();
+                        let text = text.to_owned();
                         out.notices.push(Heard::Statement { client, text, at });
                         self.state = State::Out;
                     }
@@ -158,8 +161,7 @@
             Front::Message {
                 kind: b'X', whole, ..
             } => {
-                out.close = true;
-                self.state = State::Over;
+                self.close(out);
                 whole
             }
             Front::Message { .. } | Front::TooLong { .. } => {
@@ -177,8 +179,7 @@
 
     fn end_if_leaving(&mut self, out: &mut Outbox<Heard>) {
         if self.leaving && matches!(self.state, State::Opening | State::Between) {
-            out.close = true;
-            self.state = State::Over;
+            self.close(out);
         }
     }
 }
--- a/crates/driver/src/protocol/vitals.rs
+++ b/crates/driver/src/protocol/vitals.rs
@@ -43,11 +43,3 @@
     }
     sighting
 }
-
-/// What is known from both.
-pub fn joined(a: Sighting, b: Sighting) -> Sighting {
-    Sighting {
-        position: a.position.max(b.position),
-        is_primary: a.is_primary.or(b.is_primary),
-    }
-}
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -256,9 +256,8 @@
         }
     }
 
-    fn statement(&mut self, now: Point, client: u32, text: Vec<u8>, at: Point) {
-        let readable = std::str::from_utf8(&text).map_err(|_| comment::NO_COMMENT);
-        let marked = readable.and_then(comment::read);
+    fn statement(&mut self, now: Point, client: u32, text: String, at: Point) {
+        let marked = comment::read(&text);
         let (workload, marked) = match marked.and_then(|m| Ok((self.workload(&m)?, m))) {
             Ok(marked) => marked,
             Err(Unreadable { code, message }) => {
@@ -425,7 +424,7 @@
                 };
                 let Some(errand) = errand else { return };
                 let ending = endings::of_reply(&reply);
-                let sighting = vitals::joined(sighting, self.reported(&errand, &reply, report));
+                let sighting = sighting.joined(self.reported(&errand, &reply, report));
                 self.end(errand, at, ending, sighting);
                 match (reply, errand.kind) {
                     // The first whole answer goes to the client as the bytes that came.
@@ -452,14 +451,7 @@
                 if errand.reused && !written {
                     // It had ended while it sat idle: nothing went out, so this isn't another execution.
                     self.figures.idle_connections_stale += 1;
-                    let Errand {
-                        kind,
-                        member,
-                        sent,
-                        until,
-                        ..
-                    } = errand;
-                    return self.start(now, Errand::new(kind, member, sent, until));
+                    return self.start(now, errand);
                 }
                 self.end(errand, at, endings::of_loss(written), Sighting::default());
             }
@@ -478,7 +470,7 @@
         let row = row.and_then(|v| std::str::from_utf8(v).ok());
         let read =
             |text: Option<&str>| text.map_or(Sighting::default(), |t| vitals::report(t, position, role));
-        vitals::joined(read(row), read(beside.as_deref()))
+        read(row).joined(read(beside.as_deref()))
     }
 
     fn call(&mut self, now: Point) {
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -8,7 +8,7 @@
 
 struct Held {
     client: u32,
-    text: Vec<u8>,
+    text: String,
     left_at: Range<usize>,
     times_out: Point,
     executions: u8,
@@ -42,12 +42,12 @@
         self.held.contains_key(&id)
     }
 
-    pub fn has_room(&self, text: &[u8]) -> bool {
+    pub fn has_room(&self, text: &str) -> bool {
         self.bytes + text.len() <= self.most_bytes
     }
 
     /// Holds a statement that came at `at`, and gives it an id; says that and its statement timeout.
-    pub fn hold(&mut self, client: u32, text: Vec<u8>, marked: &Marked, at: Point) -> (u32, Point) {
+    pub fn hold(&mut self, client: u32, text: String, marked: &Marked, at: Point) -> (u32, Point) {
         self.next = self.next.wrapping_add(1);
         self.bytes += text.len();
         let times_out = at + Span::millis(marked.left_ms.min(LONGEST_WAIT_MS));
@@ -82,7 +82,7 @@
     /// than anybody waits.
     pub fn query(&self, id: u32, now: Point, until: Point) -> Option<Vec<u8>> {
         let held = self.held.get(&id)?;
-        let text = comment::with_left(&held.text, &held.left_at, (until - now).0 / 1000);
+        let text = comment::with_left(held.text.as_bytes(), &held.left_at, (until - now).0 / 1000);
         let mut query = Vec::with_capacity(text.len() + 8);
         messages::put_query(&mut query, &text);
         Some(query)
--- a/crates/driver/src/routing/tables.rs
+++ b/crates/driver/src/routing/tables.rs
@@ -91,9 +91,14 @@
     }
 }
 
+/// The same number for the same text, in each run.
+pub fn hashed(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// The session that a key names; zero stands for none.
 pub fn session(key: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    key.hash(&mut hasher);
-    hasher.finish().max(1)
+    hashed(key).max(1)
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -109,6 +109,16 @@
     pub is_primary: Option<bool>,
 }
 
+impl Sighting {
+    /// What is known from both.
+    pub fn joined(self, other: Sighting) -> Sighting {
+        Sighting {
+            position: self.position.max(other.position),
+            is_primary: self.is_primary.or(other.is_primary),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct ExecutionEnd {
     pub stmt: u32,
