SIGHUP reads the configuration again; discovery moves to its new address at once

At fault: program/signals.rs registered no SIGHUP, and the discovery address was fixed in the closure of program/serve.rs, with the version of the old address kept in routing/calls.rs.

Now: discovery, memory and descriptors are taken over while serving; name, listen and settings are named in the log as kept until a start; a file that can't be read changes nothing. Tests: the built program under SIGHUP with a half written file, a replaced one, signals in a row and while leaving; the owner with an address that moves.

--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -18,7 +18,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serve clients until told to leave (SIGTERM); SIGUSR1 prints the counters
+    /// Serve clients until told to leave (SIGTERM); SIGUSR1 prints the counters, SIGHUP reads the configuration again
     Serve {
         /// The configuration, a JSON file
         #[arg(long, env = "RELAY_CONFIG")]
@@ -40,7 +40,7 @@
 
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
-        Command::Serve { config } => load(&config).and_then(serve::serve),
+        Command::Serve { config } => load(&config).and_then(|c| serve::serve(c, || load(&config))),
         Command::Check { config } => load(&config).and_then(|c| serve::check(&c)),
         Command::Version => {
             println!("asterlatch {}", env!("CARGO_PKG_VERSION"));
--- a/crates/driver/src/program/config.rs
+++ b/crates/driver/src/program/config.rs
@@ -1,6 +1,7 @@
 //! What a driver is told at its start.
 
 use crate::protocol::roster::{self, Roster};
+use crate::routing::owner::Given;
 use crate::routing::tables::hashed;
 use asterlatch::interface::Settings;
 use asterlatch_settings::{Decoding, Pairs};
@@ -10,12 +11,12 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    pub given: Given,
     pub seed: u64,
-    pub memory: usize,
-    pub sockets: usize,
     pub known: Option<Roster>,
     pub settings: (Settings, Decoding),
+    /// The same for the same text of the settings.
+    settings_text: u64,
 }
 
 /// Where nothing else is said.
@@ -53,6 +54,7 @@
         limit.unwrap_or(absent) as usize
     };
     let settings = value.get("settings").ok_or("no settings")?;
+    let settings_text = hashed(&settings.to_string());
     let settings = Pairs::from_json(settings).and_then(|pairs| asterlatch_settings::read(&pairs))?;
     if settings.0.workloads.is_empty() {
         return Err("the settings name no workload".to_owned());
@@ -60,11 +62,27 @@
     Ok(Config {
         name: text("name", "RELAY_NAME").unwrap_or_default(),
         listen: address("listen", "RELAY_LISTEN")?,
-        discovery: address("discovery", "RELAY_DISCOVERY")?,
+        given: Given {
+            discovery: address("discovery", "RELAY_DISCOVERY")?,
+            memory: limit("memory_mb", MEMORY_MB) * 1024 * 1024,
+            sockets: limit("sockets", SOCKETS),
+        },
         seed: seed(value.get("seed").and_then(Value::as_str).unwrap_or_default()),
-        memory: limit("memory_mb", MEMORY_MB) * 1024 * 1024,
-        sockets: limit("sockets", SOCKETS),
         known: value.get("known").and_then(roster::from_value),
         settings,
+        settings_text,
     })
 }
+
+impl Config {
+    /// What of a newer configuration only a new start takes over: the module is made for its settings.
+    pub fn kept(&self, newer: &Config) -> Vec<&'static str> {
+        let kept = [
+            ("name", self.name != newer.name),
+            ("listen", self.listen != newer.listen),
+            ("settings", self.settings_text != newer.settings_text),
+        ];
+        let changed = kept.into_iter().filter(|(_, changed)| *changed);
+        changed.map(|(name, _)| name).collect()
+    }
+}
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -15,24 +15,30 @@
 use asterlatch::time::Point;
 use std::sync::mpsc::channel;
 
-pub fn serve(config: Config) -> Result<(), String> {
+/// Serves until told to leave; `again` reads the configuration another time.
+pub fn serve(config: Config, again: impl Fn() -> Result<Config, String>) -> Result<(), String> {
     transport::start();
     let clock = Clock::start();
     let (queue, inputs) = channel();
     signals::forward(queue.clone()).map_err(|e| format!("signals: {e}"))?;
-    let (to_members, to_discovery, discovery) = (queue.clone(), queue.clone(), config.discovery);
+    let (to_members, to_discovery) = (queue.clone(), queue.clone());
     let place = Place {
         members: Box::new(move |id, address| {
             stream::dial::<_, Input>(address, Executions::new(id), &to_members, clock)
         }),
         discovery: Box::new(move |call| {
-            let watch = Watch::new(call.number, discovery.to_string(), call.wait_ms, call.after);
-            stream::dial::<_, Input>(discovery, watch, &to_discovery, clock)
+            let watch = Watch::new(call.number, call.address.to_string(), call.wait_ms, call.after);
+            stream::dial::<_, Input>(call.address, watch, &to_discovery, clock)
         }),
-        sockets: config.sockets,
-        memory: config.memory,
+        given: config.given,
     };
-    let mut owner = Owner::new(config.settings, config.seed, place, clock.now(), Log::default());
+    let mut owner = Owner::new(
+        config.settings.clone(),
+        config.seed,
+        place,
+        clock.now(),
+        Log::default(),
+    );
     if let Some(known) = &config.known {
         owner.learn_roster(clock.now(), known);
     }
@@ -40,12 +46,13 @@
     let listening = listening.map_err(|e| format!("{}: {e}", config.listen))?;
     owner.attach(listening);
     let mut phases = Phases::default();
-    let (mut told_to_leave, name) = (false, config.name);
+    let mut told_to_leave = false;
     owner.run(&inputs, clock, |owner, now| {
         for notice in std::mem::take(&mut owner.notices) {
             match notice {
                 Notice::Leave => told_to_leave = true,
                 Notice::Report => report(owner, now),
+                Notice::Reload => reload(owner, now, &config, again()),
             }
         }
         let seen = Seen {
@@ -56,7 +63,14 @@
             open_statements: owner.open_statements(),
         };
         while let Some(phase) = phases.advance(now, &seen) {
-            log!(owner.observer, now, "phase", "{name} is {}", phase.name());
+            log!(
+                owner.observer,
+                now,
+                "phase",
+                "{} is {}",
+                config.name,
+                phase.name()
+            );
             match phase {
                 Phase::Draining { .. } => owner.send_clients_away(),
                 Phase::Stopped => return None,
@@ -69,6 +83,31 @@
     Ok(())
 }
 
+/// A file that can't be read, or only in part, leaves the configuration in force.
+fn reload(owner: &mut Owner<Log>, now: Point, config: &Config, newer: Result<Config, String>) {
+    match newer {
+        Ok(newer) => {
+            owner.figures.reloads += 1;
+            owner.give(now, newer.given);
+            let kept = match config.kept(&newer) {
+                kept if kept.is_empty() => String::new(),
+                kept => format!("; kept until the next start: {}", kept.join(", ")),
+            };
+            let discovery = newer.given.discovery;
+            log!(
+                owner.observer,
+                now,
+                "configuration",
+                "read again, discovery at {discovery}{kept}"
+            );
+        }
+        Err(fault) => {
+            owner.figures.reloads_failed += 1;
+            log!(owner.observer, now, "configuration", "kept as it was: {fault}");
+        }
+    }
+}
+
 fn report(owner: &mut Owner<Log>, now: Point) {
     let line = counters::line(&owner.figures);
     log!(owner.observer, now, "counters", "{line}");
--- a/crates/driver/src/program/signals.rs
+++ b/crates/driver/src/program/signals.rs
@@ -1,19 +1,20 @@
-//! Signals become notices in the owner's queue: SIGTERM and SIGINT to leave, SIGUSR1 for the counters.
+//! Signals become notices in the owner's queue: SIGTERM and SIGINT to leave, SIGUSR1 for the
+//! counters, SIGHUP to read the configuration again.
 
 use crate::routing::queue::{Input, Notice};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 use std::io;
 use std::sync::mpsc::Sender;
 
 pub fn forward(queue: Sender<Input>) -> io::Result<()> {
-    let mut signals = Signals::new([SIGINT, SIGTERM, SIGUSR1])?;
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM, SIGUSR1])?;
     let forward = move || {
         for signal in signals.forever() {
-            let notice = if signal == SIGUSR1 {
-                Notice::Report
-            } else {
-                Notice::Leave
+            let notice = match signal {
+                SIGUSR1 => Notice::Report,
+                SIGHUP => Notice::Reload,
+                _ => Notice::Leave,
             };
             if queue.send(Input::Notice(notice)).is_err() {
                 return;
--- a/crates/driver/src/routing/calls.rs
+++ b/crates/driver/src/routing/calls.rs
@@ -4,6 +4,7 @@
 use asterlatch::time::{Point, Span};
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 
 /// How long a watch may wait for news, and how much longer its answer may take.
 const WATCH: Span = Span::millis(20_000);
@@ -14,9 +15,10 @@
 const FIRST_PAUSE: Span = Span::millis(100);
 const LONGEST_PAUSE: Span = Span::millis(2000);
 
-/// What a call needs to know: its number, how long a watch waits and after which version.
+/// What a call needs to know: its number, whom to call, how long a watch waits and after which version.
 pub struct Call {
     pub number: u32,
+    pub address: SocketAddr,
     pub wait_ms: u64,
     pub after: Option<u64>,
 }
@@ -25,6 +27,7 @@
 
 pub struct Calls {
     dial: Dial,
+    address: SocketAddr,
     line: Option<Line<Infallible>>,
     /// The connection in use; news of an earlier one is of no interest any more.
     number: u32,
@@ -37,9 +40,10 @@
 }
 
 impl Calls {
-    pub fn new(dial: Dial, on_request: bool, now: Point) -> Calls {
+    pub fn new(dial: Dial, address: SocketAddr, on_request: bool, now: Point) -> Calls {
         Calls {
             dial,
+            address,
             line: None,
             number: 0,
             ends: now,
@@ -70,6 +74,7 @@
         self.ends = now + after.map_or(LIST_LATE, |_| WATCH + WATCH_LATE);
         self.line = (self.dial)(Call {
             number,
+            address: self.address,
             wait_ms,
             after,
         })
@@ -77,6 +82,16 @@
         self.line.is_some()
     }
 
+    /// From now on discovery is at this address, and its whole list comes first: a version means nothing at any
+    /// other. The call to the old one is hung up on, for that one may stay silent until it closes.
+    pub fn move_to(&mut self, now: Point, address: SocketAddr) {
+        if address == self.address {
+            return;
+        }
+        (self.address, self.line, self.index) = (address, None, None);
+        (self.pause, self.again) = (FIRST_PAUSE, Some(now));
+    }
+
     /// News came; the next watch is on its way already.
     pub fn told(&mut self, now: Point, index: u64) {
         self.ends = now + WATCH + WATCH_LATE;
--- a/crates/driver/src/routing/clients.rs
+++ b/crates/driver/src/routing/clients.rs
@@ -39,6 +39,10 @@
         }
     }
 
+    pub fn bound(&mut self, most: usize) {
+        self.most = most;
+    }
+
     pub fn count(&self) -> usize {
         self.open.len()
     }
--- a/crates/driver/src/routing/errands.rs
+++ b/crates/driver/src/routing/errands.rs
@@ -76,6 +76,10 @@
         }
     }
 
+    pub fn bound(&mut self, most: usize) {
+        self.most = most;
+    }
+
     pub fn connections(&self) -> usize {
         self.pool.count()
     }
--- a/crates/driver/src/routing/figures.rs
+++ b/crates/driver/src/routing/figures.rs
@@ -45,6 +45,8 @@
     rosters_unreadable,
     roster_entries_left_out,
     discovery_calls,
+    reloads,
+    reloads_failed,
     late_answers_dropped,
     queue_longest,
     wake_up_latest_us,
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -19,6 +19,7 @@
 use asterlatch::time::{Point, Span};
 use asterlatch_settings::Decoding;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
@@ -36,14 +37,30 @@
     fn say(&mut self, now: Point, topic: &'static str, text: std::fmt::Arguments);
 }
 
-/// How connections to members and discovery are opened, and how many there may be.
+/// How connections to members and discovery are opened.
 pub struct Place {
     pub members: errands::Dial,
     pub discovery: calls::Dial,
+    pub given: Given,
+}
+
+/// What may change while the process serves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Given {
+    pub discovery: SocketAddr,
     pub sockets: usize,
     pub memory: usize,
 }
 
+impl Given {
+    /// How many connections clients and members may have.
+    fn connections(&self) -> (usize, usize) {
+        let most = self.sockets.saturating_sub(RESERVE).max(2);
+        let clients = most * CLIENTS.0 / CLIENTS.1;
+        (clients, most - clients)
+    }
+}
+
 /// The end of an execution or probe that the module is still to be told of.
 struct Ended {
     errand: Errand,
@@ -80,8 +97,8 @@
         now: Point,
         observer: O,
     ) -> Owner<O> {
-        let most = place.sockets.saturating_sub(RESERVE).max(2);
-        let most_clients = most * CLIENTS.0 / CLIENTS.1;
+        let given = place.given;
+        let (most_clients, most_members) = given.connections();
         let (timeout, idle) = (decoding.connect_timeout, settings.connection_idle);
         Owner {
             module: choice::Driver::new(&settings, seed, now),
@@ -89,9 +106,9 @@
             freshness: settings.workloads.iter().map(|w| w.freshness).collect(),
             members: Members::new(&decoding.zones),
             clients: Clients::new(most_clients),
-            statements: Statements::new(place.memory / STATEMENTS),
-            errands: Errands::new(place.members, timeout, idle, most - most_clients),
-            calls: Calls::new(place.discovery, settings.list_on_request, now),
+            statements: Statements::new(given.memory / STATEMENTS),
+            errands: Errands::new(place.members, timeout, idle, most_members),
+            calls: Calls::new(place.discovery, given.discovery, settings.list_on_request, now),
             decoding,
             observer,
             figures: Figures::default(),
@@ -188,6 +205,15 @@
         self.figures.open_member_connections = self.errands.connections() as u64;
     }
 
+    /// Takes over what has changed. Whatever is open stays: fewer connections come about as they end.
+    pub fn give(&mut self, now: Point, given: Given) {
+        let (clients, members) = given.connections();
+        self.clients.bound(clients);
+        self.errands.bound(members);
+        self.statements.bound(given.memory / STATEMENTS);
+        self.calls.move_to(now, given.discovery);
+    }
+
     pub fn attach(&mut self, listening: Listening) {
         self.listening = Some(listening);
     }
--- a/crates/driver/src/routing/queue.rs
+++ b/crates/driver/src/routing/queue.rs
@@ -8,6 +8,8 @@
 pub enum Notice {
     Leave,
     Report,
+    /// The configuration is to be read again.
+    Reload,
 }
 
 pub enum Input {
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -34,6 +34,10 @@
         }
     }
 
+    pub fn bound(&mut self, most_bytes: usize) {
+        self.most_bytes = most_bytes;
+    }
+
     pub fn count(&self) -> usize {
         self.held.len()
     }
--- a/crates/driver/tests/process.rs
+++ b/crates/driver/tests/process.rs
@@ -81,7 +81,14 @@
     for (text, expected) in cases {
         let value = serde_json::from_str(&text).expect("is JSON");
         let read = config::read(&value, |_| Some("127.0.0.1:7".to_owned())).ok();
-        let read = read.map(|c| (c.listen.port(), c.discovery.port(), c.memory, c.sockets));
+        let read = read.map(|c| {
+            (
+                c.listen.port(),
+                c.given.discovery.port(),
+                c.given.memory,
+                c.given.sockets,
+            )
+        });
         assert_eq!(read, expected, "{text}");
     }
 }
--- a/crates/driver/tests/program.rs
+++ b/crates/driver/tests/program.rs
@@ -415,6 +415,45 @@
     assert!(member.told().contains("c=view"));
 }
 
+/// SIGHUP ends a process that doesn't mind it. A file that is half there changes nothing, one that names another
+/// discovery has it called at once, and a statement that is out meanwhile is answered.
+#[test]
+fn the_configuration_is_read_again_on_sighup() {
+    let member = member(Manner::Waits);
+    let mut process = serve("sighup", member.address);
+    let mut client = process.client();
+    ask(&mut client, "post");
+    assert!(member.told().contains("c=post"));
+    let good = std::fs::read_to_string(&process.path).expect("is there");
+    std::fs::write(&process.path, &good[..good.len() / 2]).expect("is written");
+    process.signal("HUP");
+    let mut lines = BufReader::new(process.child.stderr.as_mut().expect("piped")).lines();
+    assert!(lines.any(|l| l.is_ok_and(|l| l.contains("configuration: kept as it was"))));
+    let (discovery, at) = listener();
+    let mut value: serde_json::Value = serde_json::from_str(&good).expect("is JSON");
+    value["discovery"] = at.to_string().into();
+    value["settings"]["tick_us"] = 7000.into();
+    let next = process.path.with_extension("next");
+    std::fs::write(&next, value.to_string()).expect("is written");
+    std::fs::rename(&next, &process.path).expect("is replaced");
+    (0..3).for_each(|_| process.signal("HUP"));
+    let (mut call, _) = discovery.accept().expect("is called");
+    let mut asked = [0; 28];
+    call.read_exact(&mut asked).expect("asks");
+    assert_eq!(&asked, b"GET /registry/instances HTTP");
+    member.go.send(()).expect("waits");
+    assert_eq!(answer(&mut client).0, "T D C Z");
+    process.signal("TERM");
+    process.signal("HUP");
+    let (good, log) = process.finish();
+    assert!(
+        good && log.contains(&format!(
+            "read again, discovery at {at}; kept until the next start: settings"
+        )),
+        "{log}"
+    );
+}
+
 #[test]
 fn what_cannot_be_served_is_said_in_one_line() {
     let (taken, address) = listener();
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -8,7 +8,7 @@
 use asterlatch_driver::protocol::session::{Heard as Client, Say};
 use asterlatch_driver::protocol::watch::{Heard as Discovery, News};
 use asterlatch_driver::routing::calls::Call;
-use asterlatch_driver::routing::owner::{Observer, Owner, Place};
+use asterlatch_driver::routing::owner::{Given, Observer, Owner, Place};
 use asterlatch_driver::routing::queue::Input;
 use asterlatch_driver::transport::listener::Arrival;
 use asterlatch_driver::transport::stream::Line;
@@ -102,8 +102,11 @@
                 c.borrow_mut().push((call, told));
                 Ok(Line::to(sender))
             }),
-            sockets,
-            memory,
+            given: Given {
+                discovery: "10.0.1.1:80".parse().expect("is an address"),
+                sockets,
+                memory,
+            },
         };
         let json = serde_json::from_str(settings).expect("is JSON");
         let settings = Pairs::from_json(&json).and_then(|p| read(&p)).expect("is read");
@@ -554,6 +557,86 @@
     assert_eq!(s.owner.figures.roster_entries_left_out, 1);
 }
 
+/// A configuration that is read again may name another address for discovery. What the old one says or does not
+/// say is of no interest from then on, and its version means nothing at the new one.
+#[test]
+fn discovery_may_move_and_is_asked_for_the_whole_list_there() {
+    let asked = SETTINGS.replacen('{', r#"{"discovery":"ask","#, 1);
+    for settings in [SETTINGS, &asked] {
+        let mut s = Stage::new(settings, 1024, 192 << 20);
+        let hear = |s: &mut Stage, call, heard| s.owner.take(s.now, Input::from(News { call, heard }));
+        hear(&mut s, 1, Discovery::Told(group()));
+        let mut given = Given {
+            discovery: s.called.borrow()[0].0.address,
+            sockets: 1024,
+            memory: 192 << 20,
+        };
+        s.owner.give(s.now, given);
+        s.pass(0);
+        assert_eq!(s.called.borrow().len(), 1, "the same address: the watch stands");
+        given.discovery = "10.0.1.2:80".parse().expect("is an address");
+        // Twice in a row must not call twice.
+        s.owner.give(s.now, given);
+        s.owner.give(s.now, given);
+        s.pass(0);
+        let calls: Vec<_> = s
+            .called
+            .borrow()
+            .iter()
+            .map(|(c, _)| (c.address, c.after))
+            .collect();
+        assert_eq!(
+            calls[1..],
+            [(given.discovery, None)],
+            "at once, and the whole list"
+        );
+        assert!(matches!(
+            s.called.borrow()[0].1.try_recv(),
+            Err(TryRecvError::Disconnected)
+        ));
+        hear(&mut s, 1, Discovery::Told(list(9, Vec::new())));
+        hear(&mut s, 1, Discovery::Down);
+        s.client(1);
+        s.asks(1, VIEW);
+        assert!(
+            s.sent().is_some(),
+            "what was known stands until the new one answers"
+        );
+    }
+}
+
+/// Fewer descriptors or less memory than before bind whoever comes next, and end nothing that is open.
+#[test]
+fn limits_that_change_bind_from_then_on() {
+    let mut s = stage();
+    s.asks(1, "c=view,d=60000,cluster=1");
+    let (connection, _) = s.sent().expect("is sent at once");
+    let discovery = s.called.borrow()[0].0.address;
+    let (sockets, memory) = (50, 192 << 20);
+    s.owner.give(
+        s.now,
+        Given {
+            discovery,
+            sockets,
+            memory,
+        },
+    );
+    s.client(2);
+    assert_eq!((s.told(1).as_str(), s.told(2).as_str()), ("", "turned away"));
+    s.reply(connection, rows("v"), Some(false));
+    assert_eq!(s.told(1), "rows(v)");
+    s.owner.give(
+        s.now,
+        Given {
+            discovery,
+            sockets,
+            memory: 4,
+        },
+    );
+    s.asks(1, VIEW);
+    assert_eq!(s.told(1), "53300");
+}
+
 #[test]
 fn where_the_list_is_asked_for_the_module_says_when() {
     let asks = SETTINGS.replacen(
