Members' messages must hold together, and nothing beside a spoilt answer is believed

Read beside PROTOCOL.md: an error's code was taken from any bytes between zeros, so noise could pass for a code that proves a statement untouched; a description, an end of a row and a ready were not looked into; a report that was no text spoilt a good answer; position and role that came before a spoilt part were told to the module; a report with an absurd number overflowed on its way to a time (protocol/messages.rs, execution.rs, vitals.rs, src/time.rs).

--- a/crates/driver/src/protocol/execution.rs
+++ b/crates/driver/src/protocol/execution.rs
@@ -100,9 +100,11 @@
         self.sent = false;
     }
 
-    /// Nothing that comes after can be told from the rest, so the connection is over too.
+    /// Nothing that comes after can be told from the rest, so the connection is over too, and nothing that came
+    /// before it with the answer is believed.
     fn malformed(&mut self, at: Point, out: &mut Outbox<Heard>) {
         if self.sent {
+            (self.sighting, self.report) = (Sighting::default(), None);
             self.reply(Reply::Malformed, at, out);
         }
         self.close(out);
@@ -120,6 +122,21 @@
         self.error.take().map(Reply::Error).or(rows)
     }
 
+    /// What a member says beside an answer. What is no text in there spoils no answer.
+    fn parameter(&mut self, body: &[u8]) -> bool {
+        let Some((name, value)) = messages::parameter(body) else {
+            return false;
+        };
+        let text = std::str::from_utf8(value).ok();
+        match name {
+            vitals::POSITION => self.sighting.position = text.and_then(vitals::position),
+            vitals::ROLE => self.sighting.is_primary = text.and_then(vitals::role),
+            vitals::REPORT => self.report = text.map(str::to_owned),
+            _ => {}
+        }
+        true
+    }
+
     /// One message; false where it makes no sense at this place.
     fn message(&mut self, kind: u8, body: &[u8], bytes: &[u8], at: Point, out: &mut Outbox<Heard>) -> bool {
         let busy = self.state == State::Busy;
@@ -129,25 +146,11 @@
                 kind != b'R' || body == [0, 0, 0, 0]
             }
             b'N' => true,
-            b'S' => match messages::parameter(body) {
-                Some((vitals::POSITION, text)) => {
-                    self.sighting.position = vitals::position(text);
-                    true
-                }
-                Some((vitals::ROLE, text)) => {
-                    self.sighting.is_primary = vitals::role(text);
-                    true
-                }
-                Some((vitals::REPORT, text)) => {
-                    self.report = Some(text.to_owned());
-                    true
-                }
-                other => other.is_some(),
-            },
+            b'S' => self.parameter(body),
             b'T' if busy && !self.described && self.error.is_none() => {
                 self.described = true;
                 self.rows.extend(bytes);
-                messages::columns(body) == Some(1)
+                messages::one_column(body)
             }
             b'D' if busy && self.described && !self.row && !self.complete => {
                 self.row = true;
@@ -157,10 +160,10 @@
             b'C' if busy && !self.complete && self.error.is_none() => {
                 self.complete = true;
                 self.rows.extend(bytes);
-                self.row
+                self.row && messages::only_text(body).is_some()
             }
             b'E' if !self.complete || !busy => {
-                self.error = messages::error_field(body, b'C').map(str::to_owned);
+                self.error = messages::error_code(body).map(str::to_owned);
                 let last = messages::error_field(body, b'S').is_some_and(|s| FATAL.contains(&s));
                 if self.state == State::Greeting || (busy && last && self.error.is_some()) {
                     // Nothing follows such an error, and not every machine closes behind it.
@@ -182,7 +185,7 @@
                 }
                 true
             }
-            b'Z' if busy => match self.whole() {
+            b'Z' if busy && matches!(body, b"I" | b"T" | b"E") => match self.whole() {
                 Some(reply) => {
                     self.state = State::Idle;
                     self.reply(reply, at, out);
--- a/crates/driver/src/protocol/messages.rs
+++ b/crates/driver/src/protocol/messages.rs
@@ -120,16 +120,34 @@
     fields.filter_map(|f| std::str::from_utf8(&f[1..]).ok()).next()
 }
 
-/// Name and value of a ParameterStatus.
-pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
-    let mut parts = body.split(|b| *b == 0);
-    let mut next = || std::str::from_utf8(parts.next()?).ok();
-    Some((next()?, next()?))
+/// The code of an ErrorResponse that holds together: noise must not pass for a code that proves something.
+pub fn error_code(body: &[u8]) -> Option<&str> {
+    let fields = body.strip_suffix(b"\0\0")?;
+    let named = |f: &[u8]| f.first().is_some_and(u8::is_ascii_alphabetic) && std::str::from_utf8(f).is_ok();
+    let plain = |b: u8| b.is_ascii_digit() || b.is_ascii_uppercase();
+    let code = error_field(body, b'C').filter(|c| c.len() == 5 && c.bytes().all(plain));
+    code.filter(|_| fields.split(|b| *b == 0).all(named))
+}
+
+/// The one text of a message, up to the zero that ends it.
+pub fn only_text(body: &[u8]) -> Option<&str> {
+    let text = body.strip_suffix(b"\0")?;
+    std::str::from_utf8(text).ok().filter(|t| !t.contains('\0'))
 }
 
-/// The count at the head of a RowDescription or DataRow.
-pub fn columns(body: &[u8]) -> Option<u16> {
-    body.first_chunk::<2>().map(|c| u16::from_be_bytes(*c))
+/// Name and value of a ParameterStatus.
+pub fn parameter(body: &[u8]) -> Option<(&str, &[u8])> {
+    let name = body.iter().position(|b| *b == 0)?;
+    let value = body[name + 1..].strip_suffix(b"\0")?;
+    Some((std::str::from_utf8(&body[..name]).ok()?, value))
+}
+
+/// Whether a RowDescription holds one column and nothing beside it.
+pub fn one_column(body: &[u8]) -> bool {
+    const BEHIND_NAME: usize = 18;
+    let described = body.strip_prefix(&1u16.to_be_bytes()[..]);
+    let name = described.and_then(|d| Some((d.iter().position(|b| *b == 0)?, d.len())));
+    name.is_some_and(|(name, whole)| name + 1 + BEHIND_NAME == whole)
 }
 
 /// The only value of a DataRow, which may be none.
--- a/crates/driver/src/protocol/vitals.rs
+++ b/crates/driver/src/protocol/vitals.rs
@@ -35,7 +35,7 @@
         };
         if Some(name) == position && number > 0.0 {
             // The text's last digit may stand just below the millisecond that it means.
-            sighting.position = Some(Point(0) + Span::millis((number * 1000.0 + 0.001).floor() as u64));
+            sighting.position = unix((number * 1000.0 + 0.001).floor() as u64);
         }
         if Some(name) == role {
             sighting.is_primary = Some(number == 1.0);
--- a/src/time.rs
+++ b/src/time.rs
@@ -10,7 +10,7 @@
 
 impl Span {
     pub const fn millis(ms: u64) -> Span {
-        Span(ms * 1000)
+        Span(ms.saturating_mul(1000))
     }
 
     /// How many times `other` goes into this span.
