Early word also for what waits behind a full primary

A probe of each statement that ended unserved: all of them never sent, waiting in the group whose primary had become slow and was up with its bound used (line 427 of choice.rs asked whether any member was up, not whether it had taken anything). Ruled out: probes, elections (only 27 at the switch of 10.2 s, told in time), the drivers' restarts.

Whatever was sent nowhere by 0.45 of its time is told now. One question to all members fewer a look.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,7 +16,7 @@
 const HOLD: Span = Span::millis(250);
 /// A wake-up later than this shows that the driver itself was held up.
 const STALL: Span = Span::millis(50);
-/// What nobody can take is told after this part of its time; later where drivers are many and probes rarer.
+/// What found no place is told after this part of its time; later where drivers are many and probes rarer.
 const UNSENT: f64 = 0.45;
 /// Before another try where the same members are all there is.
 const RETRY: Span = Span::millis(50);
@@ -424,8 +424,7 @@
             let crowded = waiting || self.groups[s.group].queued().next().is_some();
             let readily = w.repeat == Repeat::Idempotent && crowded;
             let hopeless = self.now >= self.last_chance(s) && (w.late_share == 0.0 || readily);
-            let nowhere = s.executions == 0 && !self.has_place(s, |m| self.fits(m, s));
-            let until = if nowhere { s.unsent_by } else { s.send_by };
+            let until = if s.executions == 0 { s.unsent_by } else { s.send_by };
             hopeless || (waiting && self.now >= until)
         });
         over.inspect(|id| self.finish(*id)).is_some()
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,7 +27,7 @@
     pub answer_by: Point,
     /// After this it may not be sent any more, for the time its repeats are known has passed.
     pub send_by: Point,
-    /// After this it is not kept any more if nobody could take it.
+    /// After this it is not kept any more if it was sent nowhere.
     pub unsent_by: Point,
     pub due: Point,
     pub executions: usize,
