Good answers earn credit: a lone failure at each member leaves no statement out

A probe of each statement that ended unserved: 122 fresh reads ended by the rule for what no member lets in, on 119 of them every member of the group stood at 0.70 or a little above, which is one failure pulling 1.0 down (learn_health, the clamp at 1.0). All members alike spoil 1 to 2 answers of 100, so all of a group of three have often failed once lately. Ruled out: bounds (most had room), shunning (none).

Dense views only: let_in may grow to 2, which two failures in a row use up. In sparse views nothing changes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,8 @@
 const PULL: f64 = 0.6;
 const AIMED: f64 = 0.4;
 const LEAST_SHARE: f64 = 0.05;
+/// Dense views: credit for good answers, so that a lone failure at each member doesn't leave statements out.
+const CREDIT: f64 = 2.0;
 /// How far other replicas of the group follow such a pull, for they mostly suffer together.
 const ALIKE: f64 = 0.2;
 /// Mean share let in at a group under which its failures are taken for common ones.
@@ -344,7 +346,8 @@
         }
         // Failures that all share are no reason to shut the group: its members must be let in on the mean.
         let g = &self.groups[f.group[m]];
-        let alone = || g.members.iter().map(|n| f.let_in[*n] - COMMON).sum::<f64>() > 0.0;
+        let beyond = |n: &usize| f.let_in[*n].min(1.0) - COMMON;
+        let alone = || g.members.iter().map(beyond).sum::<f64>() > 0.0;
         let share = match end.ending {
             Errored | TurnedAway if alone() => Some(1.0),
             Completed if !sparse => Some(0.0),
@@ -355,7 +358,8 @@
             let pulled = |n: &&usize| **n == m || follow && g.primary != Some(**n);
             for &n in g.members.iter().filter(pulled) {
                 let pull = PULL * (AIMED - share) * if n == m { 1.0 } else { ALIKE };
-                f.let_in[n] = (f.let_in[n] * pull.exp()).clamp(LEAST_SHARE, 1.0);
+                f.let_in[n] =
+                    (f.let_in[n] * pull.exp()).clamp(LEAST_SHARE, if sparse { 1.0 } else { CREDIT });
             }
         }
         let used = (f.open[m] + 1) as f64 >= f.limit[m] / 2.0;
@@ -595,15 +599,11 @@
         bar <= self.members.let_in[m]
     }
 
+    /// None of the members that such statements go to lets it in.
     fn excess(&self, s: &Stmt) -> bool {
-        self.groups[s.group].primary.is_some() && !self.has_place(s, |m| self.let_in(m, s))
-    }
-
-    /// Whether any of the members that such statements go to is open to it.
-    fn has_place(&self, s: &Stmt, open: impl Fn(usize) -> bool) -> bool {
         let (g, writes) = (&self.groups[s.group], needs_primary(&self.settings, s.workload));
-        let takes = |m: &usize| (!writes || g.primary == Some(*m)) && self.may_send(*m) && open(*m);
-        g.members.iter().any(takes)
+        let takes = |m: &usize| (!writes || g.primary == Some(*m)) && self.may_send(*m) && self.let_in(*m, s);
+        g.primary.is_some() && !g.members.iter().any(takes)
     }
 
     fn may_send(&self, m: usize) -> bool {
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -183,6 +183,25 @@
     }
 }
 
+/// A lone failure at each member is no reason to turn reads away, however little they are worth; several are.
+#[test]
+fn a_lone_failure_at_each_member_leaves_nothing_out() {
+    for (failures, left_out) in [(1, false), (4, true)] {
+        let mut b = bench(&settings(), 3);
+        (0..200).for_each(|n| drop(b.run_through(4 * n, READ, Completed)));
+        for (n, m) in (0..failures).flat_map(|n| [1, 2, 3].map(|m| (n, m))) {
+            let workload = if m == 1 { FRESH } else { READ };
+            let mut fails = || b.run_by(800 + n, workload, |at| if at == m { Errored } else { NeverSent });
+            assert!((0..9).any(|_| fails().contains(&m)), "never goes to {m}");
+        }
+        let out = (0..100).filter(|_| {
+            let (id, r) = b.take(810, READ);
+            answer(&r, id) == "rejected"
+        });
+        assert_eq!(out.count() > 0, left_out, "{failures}");
+    }
+}
+
 #[test]
 fn common_failures_widen_the_turns_without_feeding_an_overload() {
     // (how every execution ends, the least and the most executions that 400 statements get)
