--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -188,7 +188,8 @@
 fn a_lone_failure_at_each_member_leaves_nothing_out() {
     for (failures, left_out) in [(1, false), (4, true)] {
         let mut b = bench(&settings(), 3);
-        (0..200).for_each(|n| drop(b.run_through(4 * n, READ, Completed)));
+        let borne: usize = (0..200).map(|n| b.run_through(4 * n, READ, Completed)).sum();
+        assert_eq!(borne, 200);
         for (n, m) in (0..failures).flat_map(|n| [1, 2, 3].map(|m| (n, m))) {
             let workload = if m == 1 { FRESH } else { READ };
             let mut fails = || b.run_by(800 + n, workload, |at| if at == m { Errored } else { NeverSent });
