Let members go that are gone: names, ids, columns, turns and idle connections

The module lets a member go at a change of the list when it is gone, owes nothing and no open statement means it; its place is cleared for the next one. The host drops name, id and idle connections on that word; ids are never given twice. Where gone is only advice it stays until a drain was listed. Test: 300 generations in the module, 500 in the owner; one that still owes an answer, and one that a statement avoids.

--- a/crates/driver/src/routing/errands.rs
+++ b/crates/driver/src/routing/errands.rs
@@ -84,6 +84,10 @@
         self.pool.count()
     }
 
+    pub fn idle_members(&self) -> usize {
+        self.pool.idle_members()
+    }
+
     /// Sends on an idle connection, else on a new one; or says how that ended at once.
     pub fn start(
         &mut self,
@@ -178,6 +182,11 @@
         None
     }
 
+    /// Nothing more goes to this member: what sits idle there is of no use.
+    pub fn let_go(&mut self, member: u32) {
+        self.pool.let_go(member);
+    }
+
     pub fn end_idle(&mut self, now: Point) {
         self.pool.end_idle_before(now, self.idle);
     }
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -222,6 +222,12 @@
         self.listening.is_some()
     }
 
+    /// What is kept of members: names, ids, and those with an idle connection.
+    pub fn members(&self) -> (usize, usize, usize) {
+        let (names, ids) = self.members.count();
+        (names, ids, self.errands.idle_members())
+    }
+
     pub fn open_clients(&self) -> usize {
         self.clients.count()
     }
@@ -371,6 +377,10 @@
             let until = now + self.decoding.connect_timeout;
             self.start(now, Errand::new(Kind::Probe, *member, now, until));
         }
+        for member in &results.let_go {
+            self.members.let_go(*member);
+            self.errands.let_go(*member);
+        }
         if results.subscribe {
             self.call(now);
         }
@@ -533,6 +543,8 @@
         self.figures.rosters_told += 1;
         let read = roster.entries.iter().filter_map(|e| self.members.learn(e));
         let entries: Vec<_> = read.collect();
+        let leave = entries.iter().filter(|e| e.standing != Standing::Ready);
+        leave.for_each(|e| self.errands.let_go(e.id));
         let left_out = roster.left_out + roster.entries.len() - entries.len();
         if left_out > 0 {
             self.figures.roster_entries_left_out += left_out as u64;
--- a/crates/driver/src/routing/tables.rs
+++ b/crates/driver/src/routing/tables.rs
@@ -1,4 +1,4 @@
-//! Names as small ids: members, zones and workloads as the module knows them. Ids last as long as the process.
+//! Names as small ids: members, zones and workloads as the module knows them.
 
 use crate::protocol::roster::{Entry, Status};
 use crate::protocol::vitals;
@@ -37,10 +37,18 @@
     }
 }
 
+struct Known {
+    name: String,
+    address: Option<SocketAddr>,
+}
+
+/// Members from the first word of them until the module lets them go. No id is given twice, so one that is still
+/// under way can't mean another member.
 #[derive(Default)]
 pub struct Members {
-    names: Names,
-    addresses: Vec<Option<SocketAddr>>,
+    ids: BTreeMap<String, u32>,
+    known: BTreeMap<u32, Known>,
+    next: u32,
     zones: Names,
     groups: BTreeSet<u32>,
 }
@@ -54,7 +62,19 @@
     }
 
     pub fn address(&self, member: u32) -> Option<SocketAddr> {
-        self.addresses.get(member as usize).copied().flatten()
+        self.known.get(&member)?.address
+    }
+
+    /// How many there are, by name and by id.
+    pub fn count(&self) -> (usize, usize) {
+        (self.ids.len(), self.known.len())
+    }
+
+    /// The module has let it go.
+    pub fn let_go(&mut self, member: u32) {
+        if let Some(known) = self.known.remove(&member) {
+            self.ids.remove(&known.name);
+        }
     }
 
     pub fn has_group(&self, group: u32) -> bool {
@@ -67,15 +87,19 @@
         if address.is_none() && e.status != Status::Deleted {
             return None;
         }
-        let id = self.names.intern(&e.name);
-        self.addresses.resize(self.addresses.len().max(id + 1), None);
-        self.addresses[id] = address.or(self.addresses[id]);
+        let id = *self.ids.entry(e.name.clone()).or_insert(self.next);
+        let known = self.known.entry(id).or_insert_with(|| Known {
+            name: e.name.clone(),
+            address: None,
+        });
+        known.address = address.or(known.address);
+        self.next = self.next.max(id.wrapping_add(1));
         // One that is gone may come with little more than its name.
         if e.status != Status::Deleted {
             self.groups.insert(e.group);
         }
         Some(MemberEntry {
-            id: id as u32,
+            id,
             // Settings have lost what their joined lists can't hold, so these names lose it too.
             zone: self.zones.intern(&word(&e.zone)) as u16,
             group: e.group,
--- a/crates/driver/src/transport/pool.rs
+++ b/crates/driver/src/transport/pool.rs
@@ -58,9 +58,22 @@
             }
             self.held.remove(&id);
         }
+        self.idle.remove(&member);
         None
     }
 
+    /// Lets the idle connections to a member go.
+    pub fn let_go(&mut self, member: u32) {
+        for id in self.idle.remove(&member).into_iter().flatten() {
+            self.held.remove(&id);
+        }
+    }
+
+    /// Members with an idle connection.
+    pub fn idle_members(&self) -> usize {
+        self.idle.len()
+    }
+
     pub fn give_back(&mut self, id: u32, now: Point) {
         if let Some(held) = self.held.get_mut(&id) {
             held.idle_since = Some(now);
@@ -77,8 +90,13 @@
     /// Lets the connection go; its coroutine ends when nobody holds the line.
     pub fn remove(&mut self, id: u32) {
         if let Some(held) = self.held.remove(&id) {
-            let idle = self.idle.entry(held.member).or_default();
+            let Some(idle) = self.idle.get_mut(&held.member) else {
+                return;
+            };
             idle.retain(|i| *i != id);
+            if idle.is_empty() {
+                self.idle.remove(&held.member);
+            }
         }
     }
 
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -557,6 +557,47 @@
     assert_eq!(s.owner.figures.roster_entries_left_out, 1);
 }
 
+/// New members with new names replace the old ones all day: what was kept for those is let go with them, idle
+/// connections included, and a name that comes back is a new member.
+#[test]
+fn a_long_day_of_new_members_leaves_nothing_behind() {
+    let mut s = stage();
+    let change = |s: &mut Stage, entry: Entry| {
+        let change = list(2, vec![entry]);
+        let whole = false;
+        s.owner.learn_roster(s.now, &Roster { whole, ..change });
+    };
+    let (mut old, mut used) = ("rr".to_owned(), Vec::new());
+    for n in 0..500 {
+        let name = format!("r{n}");
+        let at = |name: &str, status| {
+            let address = format!("10.0.{}.{}:5432", 2 + n / 200, 1 + n % 200);
+            Entry {
+                address,
+                ..entry(name, status, false)
+            }
+        };
+        change(&mut s, at(&name, Status::Serving));
+        change(&mut s, entry(&old, Status::Draining, false));
+        s.pass(300);
+        while let Some((connection, _)) = s.sent() {
+            s.reply(connection, rows("v"), Some(false));
+        }
+        s.asks(1, VIEW);
+        let (connection, _) = s.sent().expect("is sent at once");
+        s.heard(Member::Up { connection });
+        s.reply(connection, rows("v"), Some(false));
+        used.push(connection);
+        change(&mut s, entry(&old, Status::Deleted, false));
+        s.pass(50);
+        old = name;
+    }
+    let (names, ids, idle) = s.owner.members();
+    assert!(names <= 3 && ids <= 3 && idle <= 3, "{names} {ids} {idle}");
+    let open = used.iter().filter(|c| s.is_open(**c)).count();
+    assert!(open <= 2, "{open} connections to members that are gone");
+}
+
 /// A configuration that is read again may name another address for discovery. What the old one says or does not
 /// say is of no interest from then on, and its version means nothing at the new one.
 #[test]
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -214,16 +214,23 @@
         for entry in entries {
             self.learn_entry(entry);
         }
-        self.warm_size = 0.0;
-        for m in 0..self.members.id.len() {
-            if self.may_send(m) {
-                self.warm_size += self.members.size[m] * self.warmth(m);
-            } else {
-                self.groups[self.members.group[m]].depose(m);
+        let meant: BTreeSet<_> = self.stmts.values().flat_map(Stmt::members).collect();
+        let all: Vec<_> = self.members.index.values().copied().collect();
+        let (up, down): (Vec<_>, Vec<_>) = all.into_iter().partition(|m| self.may_send(*m));
+        self.warm_size = up.iter().map(|m| self.members.size[*m] * self.warmth(*m)).sum();
+        for m in down {
+            let g = &mut self.groups[self.members.group[m]];
+            let f = &mut self.members;
+            g.depose(m);
+            // A long day of ever new members would fill the memory and each turn; what is open may mean one still.
+            if f.standing[m] == Standing::Gone && f.open[m] == 0 && !meant.contains(&m) {
+                g.members.retain(|n| *n != m);
+                self.watch.put(m, f.watch_at[m], None);
+                self.results.let_go.push(f.let_go(m));
             }
         }
         self.changed.extend(0..self.groups.all.len());
-        self.touched.extend(0..self.members.id.len());
+        self.touched.extend(self.members.index.values());
         self.settle()
     }
 
@@ -243,11 +250,8 @@
     fn learn_entry(&mut self, e: &MemberEntry) {
         let (group, longest) = (self.groups.at(e.group), self.longest_typical());
         let f = &mut self.members;
-        let m = *f.index.entry(e.id).or_insert(f.id.len());
-        let known = m < f.id.len();
+        let (m, known) = f.place(e.id);
         if !known {
-            f.grow();
-            f.id[m] = e.id;
             f.group[m] = group;
             f.pace[m] = GOOD_PACE / 2.0;
             self.groups[group].members.push(m);
@@ -264,7 +268,6 @@
             f.debt_at[m] = self.now;
             self.groups[group].depose(m);
         }
-        let f = &mut self.members;
         (f.standing[m], f.zone[m], f.size[m]) = (e.standing, e.zone, e.size);
         f.drained[m] |= e.standing == Standing::Draining;
         let g = &mut self.groups[group];
@@ -588,7 +591,7 @@
     }
 
     fn sparse(&self) -> bool {
-        self.borne.entries.len() < SPARSE * self.members.id.len()
+        self.borne.entries.len() < SPARSE * self.members.index.len()
     }
 
     /// Many drivers that each hear little would else crowd a member together. What is worth little for its
@@ -607,10 +610,9 @@
     }
 
     fn may_send(&self, m: usize) -> bool {
-        let f = &self.members;
+        let (f, advice) = (&self.members, self.settings.gone_is_advice);
         // Where the list doesn't prove what is up, only a listed drain binds.
-        let advice = self.settings.gone_is_advice && !f.drained[m];
-        f.standing[m] == Standing::Ready || (f.standing[m] == Standing::Gone && advice)
+        f.standing[m] == Standing::Ready || (f.standing[m] == Standing::Gone && advice && !f.drained[m])
     }
 
     /// Whether the known position proves it ready. Where members check reads themselves, the lag last seen is
@@ -712,9 +714,7 @@
 
     fn shun(&mut self, m: usize) {
         let f = &mut self.members;
-        f.shunned[m] = true;
-        f.limit[m] = 1.0;
-        f.probe_at[m] = self.now;
+        (f.shunned[m], f.limit[m], f.probe_at[m]) = (true, 1.0, self.now);
         self.changed.insert(f.group[m]);
         self.touched.push(m);
     }
@@ -744,8 +744,8 @@
         let times = [self.last_chance(s), s.slo_at, s.hold_until, s.send_by];
         let ahead = times.into_iter().chain([s.unsent_by]).filter(|at| *at > self.now);
         let next = ahead.fold(s.answer_by, Point::min);
-        let s = self.stmts.get_mut(&id).expect("seen above");
-        self.due.put(id, std::mem::replace(&mut s.due, next), Some(next));
+        let due = &mut self.stmts.get_mut(&id).expect("seen above").due;
+        self.due.put(id, std::mem::replace(due, next), Some(next));
     }
 
     fn send(&mut self, id: u32, m: usize) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -177,6 +177,8 @@
     pub executions: Vec<Execution>,
     pub answers: Vec<Answer>,
     pub probes: Vec<u32>,
+    /// Members that nothing here means any more.
+    pub let_go: Vec<u32>,
     /// Ask the list service for changes from now on.
     pub subscribe: bool,
     pub wake_up: Option<Point>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,6 +39,14 @@
     pub rank: Option<Rank>,
 }
 
+impl Stmt {
+    /// The members that it means: a place of theirs must not become another's.
+    pub fn members(&self) -> impl Iterator<Item = usize> + '_ {
+        let doubted = self.doubt.map(|(_, m)| m);
+        self.avoid.iter().copied().chain(doubted)
+    }
+}
+
 pub struct Running {
     pub member: usize,
     pub workload: usize,
@@ -201,11 +209,31 @@
         #[derive(Default)]
         pub struct $name {
             pub index: BTreeMap<u32, usize>,
+            /// Places of members that are gone, for the next ones.
+            free: Vec<usize>,
             $(pub $column: Vec<$kind>,)*
         }
         impl $name {
-            pub fn grow(&mut self) {
-                $(self.$column.push($first);)*
+            /// Where this member has its place, and whether it had that before.
+            pub fn place(&mut self, id: u32) -> (usize, bool) {
+                if let Some(&m) = self.index.get(&id) {
+                    return (m, true);
+                }
+                let m = self.free.pop().unwrap_or(self.id.len());
+                if m == self.id.len() {
+                    $(self.$column.push($first);)*
+                }
+                $(self.$column[m] = $first;)*
+                self.id[m] = id;
+                self.index.insert(id, m);
+                (m, false)
+            }
+
+            /// Gives a place up, which stands as one that is gone until it is taken again.
+            pub fn let_go(&mut self, m: usize) -> u32 {
+                self.index.remove(&self.id[m]);
+                self.free.push(m);
+                self.id[m]
             }
         }
     };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -152,6 +152,48 @@
     assert_eq!(b.goes(2, READ), [1], "missing from a whole list is gone");
 }
 
+/// A long day replaces every member again and again: what is gone is let go, once nothing open means it any more,
+/// and whoever takes its place has nothing of it.
+#[test]
+fn members_that_are_gone_are_let_go_when_nothing_means_them() {
+    for (advice, drained_first, kept) in [(false, false, 0), (true, true, 0), (true, false, 300)] {
+        let mut b = bench(&with(|s| s.gone_is_advice = advice), 3);
+        b.see(0, 1, 0, true);
+        let (mut let_go, mut now) = (Vec::new(), 10);
+        for id in 4..304 {
+            now += 20;
+            b.told(now, member(id));
+            if drained_first {
+                b.told(now, drained(id - 2));
+            }
+            let_go.extend(b.told(now, standing(id - 2, Standing::Gone)).let_go);
+            let read = b.run_by(now + 1, READ, |_| Completed);
+            assert!(!read.contains(&(id - 2)) || advice, "{id}");
+            b.driver.time_reached(at(now + 10));
+        }
+        assert_eq!(300 - let_go.len(), kept, "advice: {advice}");
+        assert_eq!(let_go.iter().min(), (kept == 0).then_some(&2));
+    }
+    // One owes an answer, another is known to a write that may not go there again.
+    let mut b = bench(&settings(), 3);
+    b.see(0, 1, 0, true);
+    let (read, r) = b.take(1, READ);
+    let owing = sent_to(&r)[0];
+    assert_eq!(b.told(2, standing(owing, Standing::Gone)).let_go, []);
+    b.end(3, read, 0, owing, Completed);
+    assert_eq!(b.told(4, member(9)).let_go, [owing]);
+    let (held, r) = b.take(5, READ);
+    let failed = sent_to(&r)[0];
+    b.told(6, standing(1, Standing::Draining));
+    let r = b.end(7, held, 0, failed, Errored);
+    let gone = standing(failed, Standing::Gone);
+    assert_eq!(b.told(8, gone).let_go, [], "it is to be avoided");
+    for e in r.executions {
+        b.end(9, held, 1, e.member, Completed);
+    }
+    assert_eq!(b.told(10, member(8)).let_go, [failed]);
+}
+
 #[test]
 fn all_drivers_together_keep_a_cold_members_budget() {
     // (drivers, time between reads of each, the member's start ms ago; the least and the most executions of
