Time limits for clients that send nothing whole, idle ones let go, an open id taken once

Now: 2.5 s from arrival to the first whole statement, 2.5 s a message, 10 s between two statements or 2.2 s where more than half of the places are taken. Who asked for nothing goes first when places run out. A second statement with an open id gets 22023. A client told to leave in the middle of a message has that answered first.

--- a/crates/driver/src/program/config.rs
+++ b/crates/driver/src/program/config.rs
@@ -1,8 +1,8 @@
 //! What a driver is told at its start.
 
+use crate::protocol::comment::hashed;
 use crate::protocol::roster::{self, Roster};
 use crate::routing::owner::Given;
-use crate::routing::tables::hashed;
 use asterlatch::interface::Settings;
 use asterlatch_settings::{Decoding, Pairs};
 use serde_json::Value;
--- a/crates/driver/src/protocol/comment.rs
+++ b/crates/driver/src/protocol/comment.rs
@@ -1,10 +1,14 @@
 //! The comment at the head of a statement, which carries what routing needs to know.
 
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
 use std::ops::Range;
 
 /// The fields that decisions need; the statement itself stays the bytes that came.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Marked {
+    /// The same for the same id.
+    pub id: u64,
     pub workload: String,
     pub group: u32,
     pub left_ms: u64,
@@ -39,8 +43,16 @@
 );
 pub const NO_GROUP: Unreadable = unreadable("22023", "no member of this group is known");
 pub const NO_WORKLOAD: Unreadable = unreadable("22023", "no such workload");
+pub const SAME_ID: Unreadable = unreadable("22023", "another statement with this id is open");
 pub const TOO_LARGE: Unreadable = unreadable("54000", "the statement or its value is too large");
 
+/// The same number for the same text, in each run.
+pub fn hashed(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// The first quoted literal, with doubled quotes made one, and the longest one's length.
 fn literals(text: &str) -> Result<(Option<String>, usize), Unreadable> {
     let (mut first, mut longest) = (None, 0);
@@ -81,7 +93,10 @@
         let (name, value) = (name.trim_end(), value.trim_start());
         let number = || value.parse::<u64>().map_err(|_| BAD_FIELD);
         match name {
-            "id" => seen[0] = !value.is_empty(),
+            "id" => {
+                marked.id = hashed(value);
+                seen[0] = !value.is_empty();
+            }
             "c" => {
                 marked.workload = value.to_owned();
                 seen[1] = true;
--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -12,6 +12,11 @@
         text: String,
         at: Point,
     },
+    /// Part of a message has come since then.
+    Writing {
+        client: u32,
+        since: Point,
+    },
     /// The connection sits between statements since then.
     Idle {
         client: u32,
@@ -36,6 +41,8 @@
     },
     /// Closes once nothing is out.
     Leave,
+    /// Ends the connection of whoever took too long to send something whole.
+    TimeUp,
     /// Ends the connection of whoever finds no room, before any statement.
     TurnAway,
 }
@@ -55,6 +62,8 @@
     client: u32,
     state: State,
     leaving: bool,
+    /// Part of a message lies here.
+    begun: bool,
     /// Of an oversized query, still to be passed over.
     skip: usize,
 }
@@ -65,6 +74,7 @@
             client,
             state: State::Opening,
             leaving: false,
+            begun: false,
             skip: 0,
         }
     }
@@ -178,7 +188,7 @@
     }
 
     fn end_if_leaving(&mut self, out: &mut Outbox<Heard>) {
-        if self.leaving && matches!(self.state, State::Opening | State::Between) {
+        if self.leaving && !self.begun && matches!(self.state, State::Opening | State::Between) {
             self.close(out);
         }
     }
@@ -207,6 +217,15 @@
             }
         }
         input.drain(..used);
+        let begun = self.state == State::Between && (self.skip > 0 || !input.is_empty());
+        let (client, since) = (self.client, at);
+        if begun && !self.begun {
+            out.notices.push(Heard::Writing { client, since });
+        } else if self.begun && !begun && self.state == State::Between {
+            out.notices.push(Heard::Idle { client, since });
+        }
+        self.begun = begun;
+        self.end_if_leaving(out);
     }
 
     /// An answer to a statement that is no longer out would be a second one, and is left out.
@@ -230,6 +249,12 @@
                 self.end_if_leaving(out);
             }
             Say::TurnAway if self.state == State::Over => {}
+            // Another answer than none would be taken for that of a statement which is on its way.
+            Say::TimeUp if self.state == State::Between && !self.begun => self.close(out),
+            Say::TimeUp if matches!(self.state, State::Opening | State::Between) => {
+                self.malformed("the message was not ended in time", out);
+            }
+            Say::TimeUp => {}
             Say::TurnAway => self.fatal("53300", "too many connections", out),
         }
     }
--- a/crates/driver/src/routing/clients.rs
+++ b/crates/driver/src/routing/clients.rs
@@ -1,21 +1,43 @@
-//! Clients' connections, and how many of them there may be.
+//! Clients' connections: how many of them there may be, and how long each may take.
 
 use crate::protocol::session::Say;
 use crate::transport::stream::Line;
-use asterlatch::time::Point;
+use asterlatch::time::{Point, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// From a client's arrival to its first whole statement. Whoever says nothing, or not enough, holds a place that
+/// somebody else may need.
+const ARRIVING: Span = Span::millis(2500);
+/// From the first byte of a message to its last.
+const MESSAGE: Span = Span::millis(2500);
+/// Between two statements; shorter where more than half of the places are taken.
+const RESTING: Span = Span::millis(10_000);
+const RESTING_CROWDED: Span = Span::millis(2200);
+/// Who came within this may have sent its first statement already.
+const JUST_CAME: Span = Span::millis(300);
+
+/// What a client without an open statement is at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Pause {
+    /// It has asked for nothing yet.
+    Arriving,
+    /// Part of a message has come.
+    Writing,
+    Resting,
+}
+
 struct Client {
     line: Line<Say>,
     stmt: Option<u32>,
-    idle_since: Option<Point>,
+    pause: Option<(Pause, Point)>,
     /// It was told that there is no room for it, so nothing it sends is taken.
     turned_away: bool,
 }
 
 pub struct Clients {
     open: BTreeMap<u32, Client>,
-    idle: BTreeSet<(Point, u32)>,
+    /// Those in each kind of pause, by its start.
+    pauses: [BTreeSet<(Point, u32)>; 3],
     most: usize,
     leaving: bool,
 }
@@ -24,7 +46,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Room {
     Free,
-    /// The one that sat idle the longest was let go.
+    /// Another one was let go.
     Made,
     None,
 }
@@ -33,7 +55,7 @@
     pub fn new(most: usize) -> Clients {
         Clients {
             open: BTreeMap::new(),
-            idle: BTreeSet::new(),
+            pauses: Default::default(),
             most,
             leaving: false,
         }
@@ -55,7 +77,7 @@
         }
         let room = if self.open.len() < self.most {
             Room::Free
-        } else if self.free_one() {
+        } else if self.free_one(now) {
             Room::Made
         } else {
             line.tell(Say::TurnAway);
@@ -64,45 +86,105 @@
         let client = Client {
             line,
             stmt: None,
-            idle_since: Some(now),
+            pause: None,
             turned_away: room == Room::None,
         };
         self.open.insert(id, client);
-        self.idle.insert((now, id));
+        self.set(id, Some((Pause::Arriving, now)));
         room
     }
 
-    /// Lets the one go that has sat idle the longest.
-    pub fn free_one(&mut self) -> bool {
-        let Some((_, id)) = self.idle.pop_first() else {
-            return false;
+    fn set(&mut self, id: u32, pause: Option<(Pause, Point)>) {
+        let Some(client) = self.open.get_mut(&id) else {
+            return;
         };
-        if let Some(client) = self.open.get_mut(&id) {
-            client.idle_since = None;
-            client.line.tell(Say::Leave);
+        if let Some((before, since)) = std::mem::replace(&mut client.pause, pause) {
+            self.pauses[before as usize].remove(&(since, id));
+        }
+        if let Some((pause, since)) = pause {
+            self.pauses[pause as usize].insert((since, id));
         }
+    }
+
+    fn first(&self, pause: Pause) -> Option<(Point, u32)> {
+        self.pauses[pause as usize].first().copied()
+    }
+
+    /// Lets one go for the sake of another: first who came long ago and asked for nothing, or who came with so many
+    /// others that they would push out all that have asked; then who has rested the longest.
+    pub fn free_one(&mut self, now: Point) -> bool {
+        let arriving = self.first(Pause::Arriving);
+        let many = self.pauses[Pause::Arriving as usize].len() > self.most / 2;
+        let silent = arriving.filter(|(since, _)| many || now - *since > JUST_CAME);
+        let Some((_, id)) = silent.or(self.first(Pause::Resting)).or(arriving) else {
+            return false;
+        };
+        self.tell_off(id, Say::Leave);
         true
     }
 
+    fn tell_off(&mut self, id: u32, say: Say) {
+        self.set(id, None);
+        self.say(id, say);
+    }
+
+    fn limit(&self, pause: Pause) -> Span {
+        match pause {
+            Pause::Arriving => ARRIVING,
+            Pause::Writing => MESSAGE,
+            Pause::Resting if self.open.len() * 2 > self.most => RESTING_CROWDED,
+            Pause::Resting => RESTING,
+        }
+    }
+
+    pub fn next_at(&self) -> Option<Point> {
+        let ends =
+            [Pause::Arriving, Pause::Writing, Pause::Resting].map(|p| Some(self.first(p)?.0 + self.limit(p)));
+        ends.into_iter().flatten().min()
+    }
+
+    /// Lets those go whose pause has lasted too long; how many were too slow, and how many had only rested.
+    pub fn end_pauses(&mut self, now: Point) -> (u64, u64) {
+        let mut ended = [0, 0, 0];
+        for pause in [Pause::Arriving, Pause::Writing, Pause::Resting] {
+            while let Some((_, id)) = self
+                .first(pause)
+                .filter(|(since, _)| now - *since >= self.limit(pause))
+            {
+                let say = if pause == Pause::Resting {
+                    Say::Leave
+                } else {
+                    Say::TimeUp
+                };
+                self.tell_off(id, say);
+                ended[pause as usize] += 1;
+            }
+        }
+        (ended[0] + ended[1], ended[2])
+    }
+
+    /// It waits for nothing since then; one that has asked for nothing yet is no further by that.
     pub fn rests(&mut self, id: u32, since: Point) {
-        self.occupy(id);
-        if let Some(client) = self.open.get_mut(&id) {
-            client.idle_since = Some(since);
-            self.idle.insert((since, id));
+        if !self.is(id, Pause::Arriving) {
+            self.set(id, Some((Pause::Resting, since)));
         }
     }
 
-    /// It no longer sits idle.
-    fn occupy(&mut self, id: u32) {
-        let since = self.open.get_mut(&id).and_then(|c| c.idle_since.take());
-        if let Some(since) = since {
-            self.idle.remove(&(since, id));
+    /// Part of a message came then.
+    pub fn writes(&mut self, id: u32, since: Point) {
+        if !self.is(id, Pause::Arriving) {
+            self.set(id, Some((Pause::Writing, since)));
         }
     }
 
+    fn is(&self, id: u32, pause: Pause) -> bool {
+        let found = self.open.get(&id).and_then(|c| c.pause);
+        found.is_some_and(|(p, _)| p == pause)
+    }
+
     /// It has sent a statement; whether that may be taken.
     pub fn asks(&mut self, id: u32) -> bool {
-        self.occupy(id);
+        self.set(id, None);
         self.open.get(&id).is_some_and(|c| !c.turned_away)
     }
 
@@ -114,7 +196,7 @@
 
     /// Its connection is over; says which statement it waited for.
     pub fn gone(&mut self, id: u32) -> Option<u32> {
-        self.occupy(id);
+        self.set(id, None);
         self.open.remove(&id)?.stmt
     }
 
--- a/crates/driver/src/routing/figures.rs
+++ b/crates/driver/src/routing/figures.rs
@@ -18,6 +18,8 @@
     accepts_failed,
     clients_turned_away,
     clients_closed_for_room,
+    clients_too_slow,
+    clients_rested,
     statements_taken,
     statements_unreadable,
     clients_malformed,
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -158,6 +158,7 @@
             self.module_wakes,
             self.errands.next_at(),
             self.calls.next_at(),
+            self.clients.next_at(),
             self.accept_again,
         ];
         times.into_iter().flatten().min().unwrap_or(Point(u64::MAX))
@@ -188,6 +189,9 @@
             self.carry_out(now, results);
         }
         self.errands.end_idle(now);
+        let (slow, rested) = self.clients.end_pauses(now);
+        self.figures.clients_too_slow += slow;
+        self.figures.clients_rested += rested;
         if self.calls.is_silent(now) {
             let text = format_args!("silent, calling again");
             self.observer.say(now, "discovery", text);
@@ -257,7 +261,7 @@
                 let text = format_args!("a client could not be accepted: {e}");
                 self.observer.say(now, "accept", text);
                 self.accept_again = Some(now + ACCEPT_AGAIN);
-                self.figures.clients_closed_for_room += u64::from(self.clients.free_one());
+                self.figures.clients_closed_for_room += u64::from(self.clients.free_one(now));
             }
             Arrival::Closed => self.listener_closed = true,
         }
@@ -271,6 +275,7 @@
                 }
             }
             client::Heard::Idle { client, since } => self.clients.rests(client, since),
+            client::Heard::Writing { client, since } => self.clients.writes(client, since),
             client::Heard::Malformed => {
                 self.figures.clients_malformed += 1;
                 let text = format_args!("sent what is not the protocol");
@@ -290,7 +295,7 @@
 
     fn statement(&mut self, now: Point, client: u32, text: String, at: Point) {
         let marked = comment::read(&text);
-        let (workload, marked) = match marked.and_then(|m| Ok((self.workload(&m)?, m))) {
+        let (workload, marked) = match marked.and_then(|m| Ok((self.routable(&m)?, m))) {
             Ok(marked) => marked,
             Err(Unreadable { code, message }) => {
                 self.figures.statements_unreadable += 1;
@@ -329,7 +334,11 @@
         self.carry_out(now, results);
     }
 
-    fn workload(&self, marked: &Marked) -> Result<usize, Unreadable> {
+    /// The workload of a statement that can be routed.
+    fn routable(&self, marked: &Marked) -> Result<usize, Unreadable> {
+        if self.statements.has_name(marked.id) {
+            return Err(comment::SAME_ID);
+        }
         if !self.members.has_group(marked.group) {
             return Err(comment::NO_GROUP);
         }
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -3,11 +3,13 @@
 use crate::protocol::comment::{self, Marked};
 use crate::protocol::messages;
 use asterlatch::time::{Point, Span};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 
 struct Held {
     client: u32,
+    /// What its client calls it.
+    name: u64,
     text: String,
     left_at: Range<usize>,
     times_out: Point,
@@ -19,6 +21,7 @@
 
 pub struct Statements {
     held: BTreeMap<u32, Held>,
+    names: BTreeSet<u64>,
     next: u32,
     bytes: usize,
     most_bytes: usize,
@@ -28,6 +31,7 @@
     pub fn new(most_bytes: usize) -> Statements {
         Statements {
             held: BTreeMap::new(),
+            names: BTreeSet::new(),
             next: 0,
             bytes: 0,
             most_bytes,
@@ -46,6 +50,11 @@
         self.held.contains_key(&id)
     }
 
+    /// Whether one that its client calls the same is open: to a member this one would be a copy of that.
+    pub fn has_name(&self, name: u64) -> bool {
+        self.names.contains(&name)
+    }
+
     pub fn has_room(&self, text: &str) -> bool {
         self.bytes + text.len() <= self.most_bytes
     }
@@ -57,11 +66,13 @@
         let times_out = at + Span::millis(marked.left_ms.min(LONGEST_WAIT_MS));
         let held = Held {
             client,
+            name: marked.id,
             text,
             left_at: marked.left_at.clone(),
             times_out,
             executions: 0,
         };
+        self.names.insert(marked.id);
         self.held.insert(self.next, held);
         (self.next, times_out)
     }
@@ -70,6 +81,7 @@
     pub fn release(&mut self, id: u32) -> Option<u32> {
         let held = self.held.remove(&id)?;
         self.bytes -= held.text.len();
+        self.names.remove(&held.name);
         Some(held.client)
     }
 
--- a/crates/driver/src/routing/tables.rs
+++ b/crates/driver/src/routing/tables.rs
@@ -1,12 +1,11 @@
 //! Names as small ids: members, zones and workloads as the module knows them.
 
+use crate::protocol::comment::hashed;
 use crate::protocol::roster::{Entry, Status};
 use crate::protocol::vitals;
 use asterlatch::interface::{MemberEntry, Standing};
 use asterlatch_settings::word;
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 #[derive(Default)]
@@ -115,13 +114,6 @@
     }
 }
 
-/// The same number for the same text, in each run.
-pub fn hashed(text: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    text.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// The session that a key names; zero stands for none.
 pub fn session(key: &str) -> u64 {
     hashed(key).max(1)
