What clients and members send shares one bounded room, and idle connections keep no buffer

Read in the code: each connection kept its own read buffer of 16 to 64 KB for good (stream.rs, read), zeroed before every read; begun messages of up to 135 KB a client, what waits in the owner's queue and answers that nobody reads had no bound together: 138 clients at 256 descriptors could hold 18 MB of 32, 650 at 1,024 more than all.

Bytes are read into one buffer and only what came is kept. Room for clients (a quarter of the memory: unread input, unwritten output, statements until their answer) and for members (an eighth) is taken before and given back by drop; who passes it is ended, or told 53300 where it is a whole statement. Tests: three statements in room for two; thirty clients with 100 KB each against the built program with 4 MB.

--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -11,6 +11,7 @@
 use crate::routing::owner::{Owner, Place};
 use crate::routing::queue::{Input, Notice};
 use crate::transport::clock::Clock;
+use crate::transport::room::Room;
 use crate::transport::{self, listener, stream};
 use asterlatch::time::Point;
 use std::sync::mpsc::channel;
@@ -22,15 +23,19 @@
     let (queue, inputs) = channel();
     signals::forward(queue.clone()).map_err(|e| format!("signals: {e}"))?;
     let (to_members, to_discovery) = (queue.clone(), queue.clone());
+    let memory = config.given.rooms();
+    // Discovery has one connection, whose answers have a bound of their own.
+    let (room, unbound) = (memory.1.clone(), Room::new(usize::MAX));
     let place = Place {
         members: Box::new(move |id, address| {
-            stream::dial::<_, Input>(address, Executions::new(id), &to_members, clock)
+            stream::dial::<_, Input>(address, Executions::new(id), &to_members, (clock, &room))
         }),
         discovery: Box::new(move |call| {
             let watch = Watch::new(call.number, call.address.to_string(), call.wait_ms, call.after);
-            stream::dial::<_, Input>(call.address, watch, &to_discovery, clock)
+            stream::dial::<_, Input>(call.address, watch, &to_discovery, (clock, &unbound))
         }),
         given: config.given,
+        memory: memory.clone(),
     };
     let mut owner = Owner::new(
         config.settings.clone(),
@@ -42,7 +47,9 @@
     if let Some(known) = &config.known {
         owner.learn_roster(clock.now(), known);
     }
-    let listening = listener::listen::<_, Input>(config.listen, queue, clock, Session::new);
+    let (clients, room) = (memory.0.clone(), memory.0);
+    let session = move |id| Session::new(id, room.clone());
+    let listening = listener::listen::<_, Input>(config.listen, queue, (clock, clients), session);
     let listening = listening.map_err(|e| format!("{}: {e}", config.listen))?;
     owner.attach(listening);
     let mut phases = Phases::default();
--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -1,6 +1,7 @@
 //! A client's connection: startup, then one statement after another.
 
 use super::messages::{self, Front, Opening};
+use crate::transport::room::{Room, Taken};
 use crate::transport::stream::{Dialogue, Outbox};
 use asterlatch::time::Point;
 
@@ -9,7 +10,7 @@
     /// A statement, as it came, read whole at this time.
     Statement {
         client: u32,
-        text: String,
+        text: Text,
         at: Point,
     },
     /// Part of a message has come since then.
@@ -24,12 +25,29 @@
     },
     Malformed,
     Oversized,
+    /// A statement was rejected, or the connection ended, for want of memory.
+    NoRoom,
     /// The connection is over.
     Gone {
         client: u32,
     },
 }
 
+/// A statement's text, with the room that it takes.
+pub struct Text {
+    pub text: String,
+    _room: Taken,
+}
+
+impl Text {
+    /// None where there is no room for it.
+    pub fn new(text: &str, room: &Room) -> Option<Text> {
+        let _room = room.take(text.len())?;
+        let text = text.to_owned();
+        Some(Text { text, _room })
+    }
+}
+
 /// The one final answer of the statement that is out, or how to end.
 pub enum Say {
     /// The messages of a member's answer, as they came.
@@ -66,16 +84,19 @@
     begun: bool,
     /// Of an oversized query, still to be passed over.
     skip: usize,
+    /// For statements that have no answer yet.
+    room: Room,
 }
 
 impl Session {
-    pub fn new(client: u32) -> Session {
+    pub fn new(client: u32, room: Room) -> Session {
         Session {
             client,
             state: State::Opening,
             leaving: false,
             begun: false,
             skip: 0,
+            room,
         }
     }
 
@@ -160,11 +181,18 @@
                         messages::put(&mut out.bytes, b'I', &[]);
                         messages::put_ready(&mut out.bytes);
                     }
-                    Some(text) => {
-                        let text = text.to_owned();
-                        out.notices.push(Heard::Statement { client, text, at });
-                        self.state = State::Out;
-                    }
+                    Some(text) => match Text::new(text, &self.room) {
+                        Some(text) => {
+                            out.notices.push(Heard::Statement { client, text, at });
+                            self.state = State::Out;
+                        }
+                        None => {
+                            out.notices.push(Heard::NoRoom);
+                            let said = "no memory is left for the statement";
+                            messages::put_error(&mut out.bytes, "ERROR", "53300", said, None);
+                            messages::put_ready(&mut out.bytes);
+                        }
+                    },
                 }
                 whole
             }
@@ -259,6 +287,10 @@
         }
     }
 
+    fn crowded(&mut self, out: &mut Outbox<Heard>) {
+        out.notices.push(Heard::NoRoom);
+    }
+
     fn ended(&mut self, _at: Point, out: &mut Outbox<Heard>) {
         self.state = State::Over;
         out.notices.push(Heard::Gone { client: self.client });
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -10,10 +10,11 @@
 use super::tables::{session, Members, Names};
 use crate::protocol::comment::{self, Marked, Unreadable};
 use crate::protocol::roster::Roster;
-use crate::protocol::session::Say;
+use crate::protocol::session::{Say, Text};
 use crate::protocol::{execution, messages, session as client, vitals, watch};
 use crate::transport::clock::Clock;
 use crate::transport::listener::{Arrival, Listening};
+use crate::transport::room::Room as Memory;
 use asterlatch::choice;
 use asterlatch::interface::*;
 use asterlatch::time::{Point, Span};
@@ -29,8 +30,9 @@
 const RESERVE: usize = 48;
 /// Parts of the other descriptors that are clients': one that waits for its turn has no execution out.
 const CLIENTS: (usize, usize) = (2, 3);
-/// Part of the memory that statements may fill, as the bytes that came.
-const STATEMENTS: usize = 4;
+/// Part of the memory that clients may fill, with what they sent and what they leave unread, and members.
+const CLIENTS_MEMORY: usize = 4;
+const MEMBERS_MEMORY: usize = 8;
 
 /// What the outside world is told of.
 pub trait Observer {
@@ -42,6 +44,8 @@
     pub members: errands::Dial,
     pub discovery: calls::Dial,
     pub given: Given,
+    /// For clients and for members.
+    pub memory: (Memory, Memory),
 }
 
 /// What may change while the process serves.
@@ -53,6 +57,12 @@
 }
 
 impl Given {
+    /// Room for what clients and members send.
+    pub fn rooms(&self) -> (Memory, Memory) {
+        let room = |part| Memory::new(self.memory / part);
+        (room(CLIENTS_MEMORY), room(MEMBERS_MEMORY))
+    }
+
     /// How many connections clients and members may have.
     fn connections(&self) -> (usize, usize) {
         let most = self.sockets.saturating_sub(RESERVE).max(2);
@@ -81,6 +91,7 @@
     statements: Statements,
     errands: Errands,
     calls: Calls,
+    memory: (Memory, Memory),
     ended: VecDeque<Ended>,
     module_wakes: Option<Point>,
     accept_again: Option<Point>,
@@ -106,9 +117,10 @@
             freshness: settings.workloads.iter().map(|w| w.freshness).collect(),
             members: Members::new(&decoding.zones),
             clients: Clients::new(most_clients),
-            statements: Statements::new(given.memory / STATEMENTS),
+            statements: Statements::default(),
             errands: Errands::new(place.members, timeout, idle, most_members),
             calls: Calls::new(place.discovery, given.discovery, settings.list_on_request, now),
+            memory: place.memory,
             decoding,
             observer,
             figures: Figures::default(),
@@ -214,7 +226,8 @@
         let (clients, members) = given.connections();
         self.clients.bound(clients);
         self.errands.bound(members);
-        self.statements.bound(given.memory / STATEMENTS);
+        self.memory.0.bound(given.memory / CLIENTS_MEMORY);
+        self.memory.1.bound(given.memory / MEMBERS_MEMORY);
         self.calls.move_to(now, given.discovery);
     }
 
@@ -281,6 +294,7 @@
                 let text = format_args!("sent what is not the protocol");
                 self.observer.say(now, "client", text);
             }
+            client::Heard::NoRoom => self.figures.rejected_for_memory += 1,
             client::Heard::Oversized => self.figures.statements_unreadable += 1,
             client::Heard::Gone { client } => {
                 let stmt = self.clients.gone(client);
@@ -293,8 +307,8 @@
         }
     }
 
-    fn statement(&mut self, now: Point, client: u32, text: String, at: Point) {
-        let marked = comment::read(&text);
+    fn statement(&mut self, now: Point, client: u32, text: Text, at: Point) {
+        let marked = comment::read(&text.text);
         let (workload, marked) = match marked.and_then(|m| Ok((self.routable(&m)?, m))) {
             Ok(marked) => marked,
             Err(Unreadable { code, message }) => {
@@ -310,10 +324,6 @@
                 return self.clients.say(client, say);
             }
         };
-        if !self.statements.has_room(&text) {
-            self.figures.rejected_for_memory += 1;
-            return self.clients.say(client, endings::rejected(Span(0)));
-        }
         self.figures.statements_taken += 1;
         let (id, times_out) = self.statements.hold(client, text, &marked, at);
         self.clients.waits_for(client, Some(id));
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -2,6 +2,7 @@
 
 use crate::protocol::comment::{self, Marked};
 use crate::protocol::messages;
+use crate::protocol::session::Text;
 use asterlatch::time::{Point, Span};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
@@ -10,7 +11,7 @@
     client: u32,
     /// What its client calls it.
     name: u64,
-    text: String,
+    text: Text,
     left_at: Range<usize>,
     times_out: Point,
     executions: u8,
@@ -19,29 +20,14 @@
 /// A client's wait is never taken for longer.
 const LONGEST_WAIT_MS: u64 = 86_400_000;
 
+#[derive(Default)]
 pub struct Statements {
     held: BTreeMap<u32, Held>,
     names: BTreeSet<u64>,
     next: u32,
-    bytes: usize,
-    most_bytes: usize,
 }
 
 impl Statements {
-    pub fn new(most_bytes: usize) -> Statements {
-        Statements {
-            held: BTreeMap::new(),
-            names: BTreeSet::new(),
-            next: 0,
-            bytes: 0,
-            most_bytes,
-        }
-    }
-
-    pub fn bound(&mut self, most_bytes: usize) {
-        self.most_bytes = most_bytes;
-    }
-
     pub fn count(&self) -> usize {
         self.held.len()
     }
@@ -55,14 +41,9 @@
         self.names.contains(&name)
     }
 
-    pub fn has_room(&self, text: &str) -> bool {
-        self.bytes + text.len() <= self.most_bytes
-    }
-
     /// Holds a statement that came at `at`, and gives it an id; says that and its statement timeout.
-    pub fn hold(&mut self, client: u32, text: String, marked: &Marked, at: Point) -> (u32, Point) {
+    pub fn hold(&mut self, client: u32, text: Text, marked: &Marked, at: Point) -> (u32, Point) {
         self.next = self.next.wrapping_add(1);
-        self.bytes += text.len();
         let times_out = at + Span::millis(marked.left_ms.min(LONGEST_WAIT_MS));
         let held = Held {
             client,
@@ -80,7 +61,6 @@
     /// Lets go of one that has its final answer, or needs none; says whose it was.
     pub fn release(&mut self, id: u32) -> Option<u32> {
         let held = self.held.remove(&id)?;
-        self.bytes -= held.text.len();
         self.names.remove(&held.name);
         Some(held.client)
     }
@@ -98,7 +78,7 @@
     /// than anybody waits.
     pub fn query(&self, id: u32, now: Point, until: Point) -> Option<Vec<u8>> {
         let held = self.held.get(&id)?;
-        let text = comment::with_left(held.text.as_bytes(), &held.left_at, (until - now).0 / 1000);
+        let text = comment::with_left(held.text.text.as_bytes(), &held.left_at, (until - now).0 / 1000);
         let mut query = Vec::with_capacity(text.len() + 8);
         messages::put_query(&mut query, &text);
         Some(query)
--- a/crates/driver/src/transport/listener.rs
+++ b/crates/driver/src/transport/listener.rs
@@ -2,6 +2,7 @@
 //! closes connections that sit idle instead.
 
 use super::clock::Clock;
+use super::room::Room;
 use super::stream::{self, Dialogue, Line};
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use std::io::{self, ErrorKind};
@@ -38,7 +39,7 @@
 pub fn listen<D, M>(
     address: SocketAddr,
     queue: Sender<M>,
-    clock: Clock,
+    (clock, room): (Clock, Room),
     dialogue: impl Fn(u32) -> D + Send + 'static,
 ) -> io::Result<Listening>
 where
@@ -60,7 +61,7 @@
                 next = next.wrapping_add(1);
                 let id = next;
                 let announce = |line| drop(queue.send(Arrival::Client(id, line).into()));
-                if let Err(e) = stream::run(stream, true, dialogue(id), &queue, clock, announce) {
+                if let Err(e) = stream::run(stream, true, dialogue(id), &queue, (clock, &room), announce) {
                     let _ = queue.send(Arrival::Failed(e).into());
                 }
             }
--- a/crates/driver/src/transport/mod.rs
+++ b/crates/driver/src/transport/mod.rs
@@ -23,4 +23,5 @@
 pub mod clock;
 pub mod listener;
 pub mod pool;
+pub mod room;
 pub mod stream;
--- /dev/null
+++ b/crates/driver/src/transport/room.rs
@@ -0,0 +1,71 @@
+//! Memory that many connections share: how much of it is taken, and how much there may be.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+struct Shared {
+    taken: AtomicUsize,
+    most: AtomicUsize,
+}
+
+#[derive(Clone)]
+pub struct Room(Arc<Shared>);
+
+/// A part of it, given back when dropped.
+pub struct Taken {
+    room: Room,
+    bytes: usize,
+}
+
+impl Room {
+    pub fn new(most: usize) -> Room {
+        let (taken, most) = (AtomicUsize::new(0), AtomicUsize::new(most));
+        Room(Arc::new(Shared { taken, most }))
+    }
+
+    pub fn bound(&self, most: usize) {
+        self.0.most.store(most, Ordering::Relaxed);
+    }
+
+    pub fn taken(&self) -> usize {
+        self.0.taken.load(Ordering::Relaxed)
+    }
+
+    /// No part yet.
+    pub fn none(&self) -> Taken {
+        Taken {
+            room: self.clone(),
+            bytes: 0,
+        }
+    }
+
+    pub fn take(&self, bytes: usize) -> Option<Taken> {
+        let mut taken = self.none();
+        taken.resize(bytes).then_some(taken)
+    }
+}
+
+impl Taken {
+    /// Makes the part this large. What is too much is not taken; less is always possible.
+    pub fn resize(&mut self, bytes: usize) -> bool {
+        let more = bytes.saturating_sub(self.bytes);
+        let shared = &self.room.0;
+        if more > 0 {
+            let before = shared.taken.fetch_add(more, Ordering::Relaxed);
+            if before + more > shared.most.load(Ordering::Relaxed) {
+                shared.taken.fetch_sub(more, Ordering::Relaxed);
+                return false;
+            }
+        } else {
+            shared.taken.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+        }
+        self.bytes = bytes;
+        true
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.resize(0);
+    }
+}
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -2,15 +2,19 @@
 //! It keeps no time: whoever holds the `Line` says when to end it.
 
 use super::clock::Clock;
+use super::room::{Room, Taken};
 use asterlatch::time::Point;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
 use socket2::{Domain, Protocol, Socket, Type};
+use std::cell::RefCell;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
 
 /// Read at once.
 const CHUNK: usize = 16 * 1024;
+/// Bytes lying at a connection that don't count, and that it keeps memory for.
+const SMALL: usize = 1024;
 /// Looks in a row after which a connection lets the others have theirs, however much its peer sends.
 const TURNS: usize = 32;
 
@@ -44,6 +48,8 @@
     fn written(&mut self, _out: &mut Outbox<Self::Notice>) {}
     /// The connection is over, whoever ended it. Commands may still be told after that.
     fn ended(&mut self, at: Point, out: &mut Outbox<Self::Notice>);
+    /// What lies here is more than there is room for, so the connection ends.
+    fn crowded(&mut self, _out: &mut Outbox<Self::Notice>) {}
     /// Whether more may be read while this much lies unused.
     fn hungry(&self, unused: usize) -> bool;
 }
@@ -85,6 +91,12 @@
     }
 }
 
+thread_local! {
+    /// Where bytes are read to, by one connection at a time: one of its own for each would stay with those that
+    /// sit idle, and they are the most.
+    static READ: RefCell<Vec<u8>> = RefCell::new(vec![0; CHUNK]);
+}
+
 struct Connection<D: Dialogue, M> {
     io: CoIo<TcpStream>,
     up: bool,
@@ -97,6 +109,8 @@
     read_at: Point,
     out: Outbox<D::Notice>,
     unwritten: bool,
+    /// For what lies in `input` and `out`.
+    taken: Taken,
 }
 
 enum Flow {
@@ -138,10 +152,11 @@
         if !self.hungry() {
             return Flow::Wait;
         }
-        let held = self.input.len();
-        self.input.resize(held + CHUNK, 0);
-        let got = self.io.inner().read(&mut self.input[held..]);
-        self.input.truncate(held + *got.as_ref().unwrap_or(&0));
+        let got = READ.with_borrow_mut(|buffer| {
+            let got = self.io.inner().read(buffer);
+            self.input.extend(&buffer[..*got.as_ref().unwrap_or(&0)]);
+            got
+        });
         match got {
             Ok(0) => Flow::End,
             Ok(_) => {
@@ -171,6 +186,17 @@
         Flow::Wait
     }
 
+    /// Takes room for what lies here, and gives memory back that is not needed.
+    fn has_room(&mut self) -> bool {
+        for bytes in [&mut self.input, &mut self.out.bytes] {
+            if bytes.capacity() > SMALL && bytes.len() <= bytes.capacity() / 4 {
+                bytes.shrink_to(2 * bytes.len());
+            }
+        }
+        let lying = self.input.len() + self.out.bytes.len();
+        self.taken.resize(lying.saturating_sub(SMALL))
+    }
+
     /// One look at everything. Reading goes before commands, so that what is written to a connection whose
     /// end already lies here is known never to have gone out.
     fn turn(&mut self) -> Flow {
@@ -189,6 +215,10 @@
         if self.up && !matches!(flow, Flow::End) && matches!(self.write(), Flow::End) {
             flow = Flow::End;
         }
+        if !self.has_room() {
+            self.dialogue.crowded(&mut self.out);
+            flow = Flow::End;
+        }
         // The kernel tells of bytes only once: those left with it are asked for as soon as they are wanted.
         if !was_hungry && self.hungry() && matches!(flow, Flow::Wait) {
             flow = Flow::Again;
@@ -205,9 +235,6 @@
         loop {
             match self.turn() {
                 Flow::Wait => {
-                    if self.input.is_empty() && self.input.capacity() > 4 * CHUNK {
-                        self.input = Vec::new();
-                    }
                     self.io.wait_io();
                     turns = 0;
                 }
@@ -251,7 +278,7 @@
     up: bool,
     mut dialogue: D,
     queue: &Sender<M>,
-    clock: Clock,
+    (clock, room): (Clock, &Room),
     announce: impl FnOnce(Line<D::Command>),
 ) -> io::Result<()>
 where
@@ -277,6 +304,7 @@
         read_at: clock.now(),
         out,
         unwritten: false,
+        taken: room.none(),
     };
     // The owner must know the line before the first news from it.
     announce(Line {
@@ -292,7 +320,7 @@
     address: SocketAddr,
     dialogue: D,
     queue: &Sender<M>,
-    clock: Clock,
+    (clock, room): (Clock, &Room),
 ) -> io::Result<Line<D::Command>>
 where
     D: Dialogue,
@@ -307,7 +335,9 @@
         _ => {}
     }
     let mut line = None;
-    run(socket.into(), false, dialogue, queue, clock, |l| line = Some(l))?;
+    run(socket.into(), false, dialogue, queue, (clock, room), |l| {
+        line = Some(l)
+    })?;
     line.ok_or_else(|| io::Error::other("no line announced"))
 }
 
--- a/crates/driver/tests/program.rs
+++ b/crates/driver/tests/program.rs
@@ -204,9 +204,18 @@
     serve_at(listen, name, member)
 }
 
-/// Starts the program, and waits until it listens.
 fn serve_at(listen: SocketAddr, name: &str, member: SocketAddr) -> Program {
-    let path = config(name, &described(listen, silent_discovery(), member));
+    serve_described(name, &described(listen, silent_discovery(), member))
+}
+
+/// Starts the program, and waits until it listens.
+fn serve_described(name: &str, text: &str) -> Program {
+    let path = config(name, text);
+    let value: serde_json::Value = serde_json::from_str(text).expect("is JSON");
+    let listen = value["listen"]
+        .as_str()
+        .and_then(|l| l.parse().ok())
+        .expect("is given");
     let child = program("serve", &path).spawn().expect("starts");
     let process = Program { child, listen, path };
     let end = Instant::now() + PATIENCE;
@@ -361,6 +370,34 @@
     }
 }
 
+/// Against clients that each begin a large statement and don't end it: together they would fill a small memory.
+#[test]
+fn unfinished_messages_fill_no_more_than_their_room() {
+    let member = member(Manner::Answers);
+    let small = described(listener().1, silent_discovery(), member.address)
+        .replace(r#""memory_mb":192"#, r#""memory_mb":4"#);
+    let process = serve_described("unfinished", &small);
+    let mut clients: Vec<_> = (0..30).map(|_| process.client()).collect();
+    let part = [&b"Q\0\x02\0\0"[..], &[b'x'; 100_000]].concat();
+    // A client that was ended already may not take its part any more.
+    let taken = clients.iter_mut().filter_map(|c| c.write_all(&part).ok()).count();
+    assert!(taken >= 10, "a mebibyte takes ten of them: {taken}");
+    let mut ended = 0;
+    for client in &mut clients {
+        client
+            .set_read_timeout(Some(Duration::from_millis(100)))
+            .expect("is set");
+        match client.read(&mut [0]) {
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            _ => ended += 1,
+        }
+    }
+    assert!((1..=25).contains(&ended), "{ended}");
+    let mut other = process.client();
+    ask(&mut other, "view");
+    assert_eq!(answer(&mut other).0, "T D C Z");
+}
+
 #[test]
 fn a_member_that_closes_early_fails_a_write_once() {
     let member = member(Manner::Closes);
--- a/crates/driver/tests/protocol.rs
+++ b/crates/driver/tests/protocol.rs
@@ -9,6 +9,7 @@
 use asterlatch_driver::protocol::roster::{self, Status};
 use asterlatch_driver::protocol::session::{self, Say, Session};
 use asterlatch_driver::protocol::{vitals, watch};
+use asterlatch_driver::transport::room::Room;
 use asterlatch_driver::transport::stream::{Dialogue, Outbox};
 
 const AT: Point = Point(1_000_000);
@@ -23,6 +24,28 @@
     message(b'Q', format!("{text}\0").as_bytes())
 }
 
+/// A client's connection, and room for so many bytes of statements.
+fn session(room: usize) -> Session {
+    Session::new(1, Room::new(room))
+}
+
+/// Statements that wait fill no more than their part of the memory; what comes beyond is told so at once.
+#[test]
+fn statements_fill_no_more_than_their_room() {
+    let (room, mut input) = (Room::new(20), Vec::new());
+    let mut sessions = [1, 2, 3].map(|n| (Session::new(n, room.clone()), Outbox::default()));
+    for (n, (session, out)) in sessions.iter_mut().enumerate() {
+        input.extend([greeted(), query("SELECT 1")].concat());
+        session.heard(&mut input, AT, out);
+        let (news, said) = [("stmt(SELECT 1)", ""), ("no room", " E53300 Z")][n / 2];
+        assert_eq!(client_news(&out.notices), format!("idle {news}"));
+        assert_eq!(spoken(&out.bytes), format!("{WELCOME}{said}"));
+    }
+    assert_eq!(room.taken(), 16);
+    drop(sessions);
+    assert_eq!(room.taken(), 0, "given back with the statement");
+}
+
 /// What is begun and not ended: said once a message, and ended with a word; who has begun nothing goes without one.
 #[test]
 fn a_message_must_end_in_time() {
@@ -40,7 +63,7 @@
         ("a statement that is out", after(&query("SELECT 1")), "idle stmt(SELECT 1)", "out"),
     ];
     for (name, bytes, news, said) in cases {
-        let (mut session, mut out) = (Session::new(1), Outbox::default());
+        let (mut session, mut out) = (session(1 << 20), Outbox::default());
         hear(&mut session, &bytes, bytes.len().max(1), &mut out);
         assert_eq!(client_news(&out.notices), news, "{name}");
         out.bytes.clear();
@@ -52,7 +75,7 @@
     }
     // Told to leave in the middle of a message: that is taken and answered first.
     let (mut session, mut out, mut input) = (
-        Session::new(1),
+        session(1 << 20),
         Outbox::default(),
         after(&half(&query("SELECT 1"))),
     );
@@ -107,11 +130,12 @@
 fn client_news(notices: &[session::Heard]) -> String {
     let told = notices.iter();
     let words = told.map(|n| match n {
-        session::Heard::Statement { text, .. } => format!("stmt({text})"),
+        session::Heard::Statement { text, .. } => format!("stmt({})", text.text),
         session::Heard::Idle { .. } => "idle".to_owned(),
         session::Heard::Writing { .. } => "writing".to_owned(),
         session::Heard::Malformed => "malformed".to_owned(),
         session::Heard::Oversized => "oversized".to_owned(),
+        session::Heard::NoRoom => "no room".to_owned(),
         session::Heard::Gone { .. } => "gone".to_owned(),
     });
     words.collect::<Vec<_>>().join(" ")
@@ -160,7 +184,7 @@
     ];
     for (name, bytes, said, news, close) in &cases {
         for pieces in [bytes.len(), 1] {
-            let (mut session, mut out) = (Session::new(1), Outbox::default());
+            let (mut session, mut out) = (session(1 << 20), Outbox::default());
             hear(&mut session, bytes, pieces, &mut out);
             assert_eq!(&spoken(&out.bytes), said, "{name}");
             // How often it was in the middle of a message depends on the pieces.
@@ -176,7 +200,7 @@
 
 #[test]
 fn a_statement_gets_one_answer_and_order_is_kept() {
-    let (mut session, mut out, mut input) = (Session::new(1), Outbox::default(), Vec::new());
+    let (mut session, mut out, mut input) = (session(1 << 20), Outbox::default(), Vec::new());
     input.extend([greeted(), query("a"), query("b"), query("c")].concat());
     session.heard(&mut input, AT, &mut out);
     out.bytes.clear();
@@ -223,7 +247,7 @@
         (greeted(), Say::Leave, ""),
         (Vec::new(), Say::TurnAway, "E53300"),
     ] {
-        let (mut session, mut out) = (Session::new(1), Outbox::default());
+        let (mut session, mut out) = (session(1 << 20), Outbox::default());
         hear(&mut session, &before, 1000, &mut out);
         out.bytes.clear();
         session.told(say, AT, &mut out);
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -5,12 +5,13 @@
 use asterlatch_driver::protocol::execution::{Heard as Member, Reply, Run};
 use asterlatch_driver::protocol::messages;
 use asterlatch_driver::protocol::roster::{Entry, Roster, Status};
-use asterlatch_driver::protocol::session::{Heard as Client, Say};
+use asterlatch_driver::protocol::session::{Heard as Client, Say, Text};
 use asterlatch_driver::protocol::watch::{Heard as Discovery, News};
 use asterlatch_driver::routing::calls::Call;
 use asterlatch_driver::routing::owner::{Given, Observer, Owner, Place};
 use asterlatch_driver::routing::queue::Input;
 use asterlatch_driver::transport::listener::Arrival;
+use asterlatch_driver::transport::room::Room;
 use asterlatch_driver::transport::stream::Line;
 use asterlatch_settings::{read, Pairs};
 use std::cell::RefCell;
@@ -47,6 +48,8 @@
     called: Called,
     clients: BTreeMap<u32, Receiver<Say>>,
     asked: u32,
+    /// For what clients send.
+    room: Room,
     /// The error with which the next dial fails.
     fault: Rc<RefCell<Option<i32>>>,
 }
@@ -89,6 +92,12 @@
     fn new(settings: &str, sockets: usize, memory: usize) -> Stage {
         let (dialled, called, fault) = (Dialled::default(), Called::default(), Rc::new(RefCell::new(None)));
         let (d, c, f) = (dialled.clone(), called.clone(), fault.clone());
+        let given = Given {
+            discovery: "10.0.1.1:80".parse().expect("is an address"),
+            sockets,
+            memory,
+        };
+        let rooms = given.rooms();
         let place = Place {
             members: Box::new(move |id, address| match f.borrow_mut().take() {
                 Some(code) => Err(io::Error::from_raw_os_error(code)),
@@ -103,11 +112,8 @@
                 c.borrow_mut().push((call, told));
                 Ok(Line::to(sender))
             }),
-            given: Given {
-                discovery: "10.0.1.1:80".parse().expect("is an address"),
-                sockets,
-                memory,
-            },
+            given,
+            memory: rooms.clone(),
         };
         let json = serde_json::from_str(settings).expect("is JSON");
         let settings = Pairs::from_json(&json).and_then(|p| read(&p)).expect("is read");
@@ -118,6 +124,7 @@
             called,
             clients: BTreeMap::new(),
             asked: 0,
+            room: rooms.0,
             fault,
         };
         stage.owner.learn_roster(START, &group());
@@ -179,9 +186,9 @@
 
     fn asks_as(&mut self, client: u32, id: u32, fields: &str) {
         let text = format!("/* id={id},{fields} */ SELECT blob FROM rows WHERE handle = 'k'");
-        let at = self.now;
-        self.owner
-            .take(self.now, Input::Client(Client::Statement { client, text, at }));
+        let (text, at) = (Text::new(&text, &self.room).expect("has room"), self.now);
+        let heard = Client::Statement { client, text, at };
+        self.owner.take(self.now, Input::Client(heard));
     }
 
     /// What the client was told, in short.
@@ -409,15 +416,10 @@
     );
     s.asks(1, "c=view,d=900,cluster=0");
     assert_eq!((s.told(1).as_str(), s.sent()), ("22023", None));
-    let text = "SELECT 1".to_owned();
-    s.owner.take(
-        s.now,
-        Input::Client(Client::Statement {
-            client: 1,
-            text,
-            at: s.now,
-        }),
-    );
+    let (client, at) = (1, s.now);
+    let text = Text::new("SELECT 1", &s.room).expect("has room");
+    s.owner
+        .take(s.now, Input::Client(Client::Statement { client, text, at }));
     assert_eq!(s.told(1), "42601");
     // A time that no clock reaches is no reason to fail.
     s.asks(
@@ -453,24 +455,6 @@
     );
 }
 
-#[test]
-fn statements_fill_no_more_than_their_part_of_the_memory() {
-    let mut s = Stage::new(SETTINGS, 1024, 1000);
-    (1..=5).for_each(|id| {
-        s.client(id);
-        s.asks(id, "c=view,d=60000,cluster=1");
-    });
-    let rejected = (1..=5).filter(|id| s.told(*id) == "53300").count() as u64;
-    assert!((1..=4).contains(&rejected), "{rejected}");
-    assert_eq!(
-        (
-            s.owner.figures.statements_taken,
-            s.owner.figures.rejected_for_memory
-        ),
-        (5 - rejected, rejected)
-    );
-}
-
 #[test]
 fn want_of_descriptors_is_not_held_against_a_member() {
     for (code, ended) in [(24, "never_sent"), (111, "no_connection")] {
@@ -756,16 +740,21 @@
     assert_eq!((s.told(1).as_str(), s.told(2).as_str()), ("", "turned away"));
     s.reply(connection, rows("v"), Some(false));
     assert_eq!(s.told(1), "rows(v)");
+    // A quarter of the memory is for what clients send, and what they have sent is given back with its answer.
+    assert_eq!(s.room.taken(), 0);
+    let memory = 400;
     s.owner.give(
         s.now,
         Given {
             discovery,
             sockets,
-            memory: 4,
+            memory,
         },
     );
-    s.asks(1, VIEW);
-    assert_eq!(s.told(1), "53300");
+    let held = Text::new(&"x".repeat(60), &s.room).expect("has room");
+    assert!(Text::new(&"x".repeat(60), &s.room).is_none());
+    drop(held);
+    assert!(Text::new(&"x".repeat(60), &s.room).is_some());
 }
 
 #[test]
