--- a/crates/driver/src/protocol/vitals.rs
+++ b/crates/driver/src/protocol/vitals.rs
@@ -37,7 +37,8 @@
             // The text's last digit may stand just below the millisecond that it means.
             sighting.position = unix((number * 1000.0 + 0.001).floor() as u64);
         }
-        if Some(name) == role {
+        // Any other number is no role: a report that can't be read must not depose a primary.
+        if Some(name) == role && (number == 0.0 || number == 1.0) {
             sighting.is_primary = Some(number == 1.0);
         }
     }
