What a living member never answers keeps no room from other statements

So a lone silent connection made the primary overdue (12 typical times, some 200 ms), shun() cut the bound to one, the probe that followed at once lifted the shunning, and the silent execution held the one place to the end of its time. Ruled out: pace (low), let_in (over 1).

A probe that is answered now proves the member alive: what it owed for longer than four typical times counts no more, and its late end says nothing of the member. Holds also against lost answers and stuck statements; it may hurt where a member with stuck statements is slow because of them. A member is let go only when nothing is out at it, lost or not.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -180,7 +180,7 @@
     pub fn execution_ended(&mut self, now: Point, end: &ExecutionEnd) -> Results {
         self.hear(now);
         if let Some(run) = self.running.remove(&(end.stmt, end.number)) {
-            self.learn_health(&run, end);
+            (!run.lost).then(|| self.learn_health(&run, end));
             self.learn_sighting(run.member, end.took, end.sighting);
             self.learn_commit(&run, end);
             if end.settled {
@@ -193,13 +193,19 @@
 
     pub fn probe_answered(&mut self, now: Point, member: u32, ok: bool, took: Span, s: Sighting) -> Results {
         self.hear(now);
+        let before = now - self.longest_typical() * OVERDUE_PACES;
         if let Some(&m) = self.members.index.get(&member) {
             let f = &mut self.members;
             self.changed.insert(f.group[m]);
             self.touched.push(m);
             if ok {
                 f.owes_since[m] = now;
-                f.shunned[m] = false;
+                // It lives: what it owed all the while is lost on its way or stuck, and keeps no room from others.
+                let (runs, lives) = (self.running.values_mut(), std::mem::take(&mut f.shunned[m]));
+                let lost = runs
+                    .map(|r| usize::from(lives && r.lose(m, before)))
+                    .sum::<usize>();
+                (f.open[m], f.connections[m]) = (f.open[m] - lost, f.connections[m].saturating_sub(lost));
                 self.learn_sighting(m, took, s);
             }
         }
@@ -211,10 +217,9 @@
         if whole {
             self.members.standing.fill(Standing::Gone);
         }
-        for entry in entries {
-            self.learn_entry(entry);
-        }
-        let meant: BTreeSet<_> = self.stmts.values().flat_map(Stmt::members).collect();
+        entries.iter().for_each(|e| self.learn_entry(e));
+        let owing = self.running.values().map(|r| r.member);
+        let meant: BTreeSet<_> = self.stmts.values().flat_map(Stmt::members).chain(owing).collect();
         let all: Vec<_> = self.members.index.values().copied().collect();
         let (up, down): (Vec<_>, Vec<_>) = all.into_iter().partition(|m| self.may_send(*m));
         self.warm_size = up.iter().map(|m| self.members.size[*m] * self.warmth(*m)).sum();
@@ -223,7 +228,7 @@
             let f = &mut self.members;
             g.depose(m);
             // A long day of ever new members would fill the memory and each turn; what is open may mean one still.
-            if f.standing[m] == Standing::Gone && f.open[m] == 0 && !meant.contains(&m) {
+            if f.standing[m] == Standing::Gone && !meant.contains(&m) {
                 g.members.retain(|n| *n != m);
                 self.watch.put(m, f.watch_at[m], None);
                 self.results.let_go.push(f.let_go(m));
@@ -260,12 +265,10 @@
             // It may be cold, and is no longer primary whatever it was.
             f.started[m] = e.started;
             f.limit[m] = (FIRST_LIMIT / f64::from(self.settings.driver_count)).max(1.0);
-            f.shunned[m] = false;
-            f.drained[m] = false;
-            f.probe_at[m] = self.now;
+            (f.shunned[m], f.drained[m]) = (false, false);
+            (f.probe_at[m], f.debt_at[m]) = (self.now, self.now);
             // Drivers that hear of it together must not send to it together.
             f.debt[m] = longest * self.chance.draw();
-            f.debt_at[m] = self.now;
             self.groups[group].depose(m);
         }
         (f.standing[m], f.zone[m], f.size[m]) = (e.standing, e.zone, e.size);
@@ -322,8 +325,7 @@
         self.touched.push(m);
         let answered = matches!(end.ending, Completed | Missed | Errored | TurnedAway);
         if answered {
-            f.owes_since[m] = now;
-            f.shunned[m] = false;
+            (f.owes_since[m], f.shunned[m]) = (now, false);
         } else if end.ending != NeverSent {
             f.connections[m] = f.connections[m].saturating_sub(1);
         }
@@ -763,9 +765,8 @@
         if new_connection {
             f.connections[m] = f.open[m];
         }
-        f.used_at[m] = self.now;
+        (f.used_at[m], f.debt_at[m]) = (self.now, self.now);
         f.debt[m] = s.work.unwrap_or(self.typical[s.workload]);
-        f.debt_at[m] = self.now;
         self.touched.push(m);
         let (member, until) = (f.id[m], s.answer_by);
         self.results.executions.push(Execution {
@@ -787,11 +788,10 @@
         let worthwhile = self.now + self.typical[s.workload] < s.slo_at;
         let hold_off = self.settings.max_hold_off * if worthwhile { 0.0 } else { 1.0 };
         self.call_off(id);
-        self.results.answers.push(if harmless {
-            Answer::Rejected { stmt: id, hold_off }
-        } else {
-            Answer::Aborted { stmt: id }
-        });
+        let rejected = Answer::Rejected { stmt: id, hold_off };
+        let aborted = Answer::Aborted { stmt: id };
+        let answer = if harmless { rejected } else { aborted };
+        self.results.answers.push(answer);
         self.forget(id);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,17 +54,27 @@
     pub called_off: bool,
     /// None was free, so that one had to be set up for it.
     pub new_connection: bool,
+    /// Its member is known to live and still gives no answer: it counts no more.
+    pub lost: bool,
 }
 
 impl Running {
+    /// Counts no more if it went to this member before then; says whether that is new.
+    pub fn lose(&mut self, member: usize, before: Point) -> bool {
+        let is_new = self.member == member && self.sent < before && !self.lost;
+        self.lost |= is_new;
+        is_new
+    }
+
     pub fn new(member: usize, workload: usize, sent: Point, new_connection: bool) -> Running {
-        let called_off = false;
+        let (called_off, lost) = (false, false);
         Running {
             member,
             workload,
             sent,
             called_off,
             new_connection,
+            lost,
         }
     }
 }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -280,6 +280,28 @@
     assert!(out >= 4, "the bound has shrunk to {out}");
 }
 
+/// Connections may fall silent although the member lives: once a probe says so, what it owed for long keeps no room,
+/// and its late end says nothing.
+#[test]
+fn what_a_living_member_never_answers_keeps_no_room() {
+    for (answers, room) in [(true, true), (false, false)] {
+        let mut b = bench(&settings(), 1);
+        b.see(0, 1, 0, true);
+        (0..20).for_each(|n| drop(b.run_by(5 * n, WRITE, |_| Completed)));
+        let (silent, r) = b.take(200, WRITE);
+        assert_eq!(sent_to(&r), [1]);
+        let probed = (201..1400).find(|now| !b.driver.time_reached(at(*now)).probes.is_empty());
+        let now = probed.expect("it is overdue");
+        if answers {
+            b.see(now + 1, 1, now, true);
+        }
+        assert_eq!(!b.goes(now + 2, WRITE).is_empty(), room, "{answers}");
+        b.end(now + 3, silent, 0, 1, TimedOut);
+        b.see(now + 4, 1, now, true);
+        assert!(b.goes(now + 5, WRITE).is_empty(), "one at a time");
+    }
+}
+
 #[test]
 fn a_primary_that_left_or_restarted_is_none() {
     for mut entry in [drained(1), started(1, at(5))] {
