Messages as long as the room for their kind allows, not 64 KB whatever the memory

A probe of what was taken for malformed: 4,398 of 4,406 were the header of a DataRow of 270 to 310 KB, well formed, refused for its length (messages.rs, REPLY). Ruled out: member errors (8 XX000), strays, silence.

The bound is a sixteenth of the room for the kind now, so it follows the configured memory; members' room is a quarter of it. An answer that was begun is held whatever it takes, so that no slow reader loses one; statements find no room instead. One copy of an answer fewer.

--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -6,6 +6,7 @@
 use super::phases::{Phase, Phases, Seen};
 use super::signals;
 use crate::protocol::execution::Executions;
+use crate::protocol::messages;
 use crate::protocol::session::Session;
 use crate::protocol::watch::Watch;
 use crate::routing::owner::{Owner, Place};
@@ -26,9 +27,10 @@
     let memory = config.given.rooms();
     // Discovery has one connection, whose answers have a bound of their own.
     let (room, unbound) = (memory.1.clone(), Room::new(usize::MAX));
+    let longest = messages::bound(room.most());
     let place = Place {
         members: Box::new(move |id, address| {
-            stream::dial::<_, Input>(address, Executions::new(id), &to_members, (clock, &room))
+            stream::dial::<_, Input>(address, Executions::new(id, longest), &to_members, (clock, &room))
         }),
         discovery: Box::new(move |call| {
             let watch = Watch::new(call.number, call.address.to_string(), call.wait_ms, call.after);
--- a/crates/driver/src/protocol/comment.rs
+++ b/crates/driver/src/protocol/comment.rs
@@ -53,10 +53,9 @@
     hasher.finish()
 }
 
-/// The first quoted literal, with doubled quotes made one, and the longest one's length.
-fn literals(text: &str) -> Result<(Option<String>, usize), Unreadable> {
-    let (mut first, mut longest) = (None, 0);
-    let mut rest = text;
+/// The first quoted literal, with doubled quotes made one; all of them must end.
+fn literal(text: &str) -> Result<Option<String>, Unreadable> {
+    let (mut first, mut rest) = (None, text);
     while let Some(start) = rest.find('\'') {
         let mut literal = String::new();
         rest = &rest[start + 1..];
@@ -64,7 +63,9 @@
             let end = rest
                 .find('\'')
                 .ok_or(unreadable("42601", "a quoted literal doesn't end"))?;
-            literal.push_str(&rest[..end]);
+            if first.is_none() {
+                literal.push_str(&rest[..end]);
+            }
             rest = &rest[end + 1..];
             match rest.strip_prefix('\'') {
                 Some(after) => rest = after,
@@ -72,13 +73,9 @@
             }
             literal.push('\'');
         }
-        let bytes = literal
-            .strip_prefix("\\x")
-            .map_or(literal.len(), |hex| hex.len() / 2);
-        longest = longest.max(bytes);
         first.get_or_insert(literal);
     }
-    Ok((first, longest))
+    Ok(first)
 }
 
 pub fn read(text: &str) -> Result<Marked, Unreadable> {
@@ -120,11 +117,7 @@
     if seen.contains(&false) {
         return Err(NO_FIELD);
     }
-    let (key, longest) = literals(&inner[end + 2..])?;
-    if longest > super::messages::VALUE {
-        return Err(TOO_LARGE);
-    }
-    marked.key = key;
+    marked.key = literal(&inner[end + 2..])?;
     Ok(marked)
 }
 
--- a/crates/driver/src/protocol/execution.rs
+++ b/crates/driver/src/protocol/execution.rs
@@ -50,6 +50,8 @@
 
 pub struct Executions {
     connection: u32,
+    /// The longest message that is taken.
+    bound: usize,
     state: State,
     /// Waits for the greeting to end.
     first: Option<Vec<u8>>,
@@ -65,9 +67,10 @@
 }
 
 impl Executions {
-    pub fn new(connection: u32) -> Executions {
+    pub fn new(connection: u32, bound: usize) -> Executions {
         Executions {
             connection,
+            bound,
             state: State::Greeting,
             first: None,
             sent: false,
@@ -83,7 +86,7 @@
     }
 
     fn send(&mut self, query: Vec<u8>, out: &mut Outbox<Heard>) {
-        *self = Executions::new(self.connection);
+        *self = Executions::new(self.connection, self.bound);
         self.state = State::Busy;
         self.sent = true;
         out.bytes.extend(query);
@@ -209,7 +212,7 @@
     fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Heard>) {
         let mut taken = 0;
         while self.state != State::Over {
-            match messages::front(&input[taken..], messages::REPLY) {
+            match messages::front(&input[taken..], self.bound) {
                 Front::Partial => break,
                 Front::Message { kind, body, whole } => {
                     let bytes = &input[taken..taken + whole];
@@ -257,6 +260,6 @@
     }
 
     fn hungry(&self, unused: usize) -> bool {
-        self.state != State::Over && unused <= messages::REPLY + 5
+        self.state != State::Over && unused <= self.bound + 5
     }
 }
--- a/crates/driver/src/protocol/messages.rs
+++ b/crates/driver/src/protocol/messages.rs
@@ -1,13 +1,23 @@
 //! Messages of PostgreSQL's protocol, version 3.
 
-/// Bytes of a value at most, as the deployment allows it.
-pub const VALUE: usize = 64 * 1024;
-/// A query may hold a value as hexadecimal text, and its comment.
-pub const QUERY: usize = 2 * VALUE + 4096;
-/// An answer is one such value with little beside it.
-pub const REPLY: usize = VALUE + 4096;
+/// Any driver takes messages of this length: a value of 64 KB as hexadecimal text, and a comment.
+const LEAST: usize = 2 * 64 * 1024 + 4096;
 /// More than this isn't even passed over.
 pub const ABSURD: usize = 16 * 1024 * 1024;
+/// How many of the longest messages fit into the room for all of their kind.
+const TOGETHER: usize = 16;
+
+/// The longest message that is taken, where all have so much room together.
+pub const fn bound(room: usize) -> usize {
+    let part = room / TOGETHER;
+    if part < LEAST {
+        LEAST
+    } else if part > ABSURD {
+        ABSURD
+    } else {
+        part
+    }
+}
 
 /// A message that lies whole at the front, what is known of one that doesn't, or that it can't be one.
 pub enum Front<'a> {
@@ -164,7 +174,7 @@
 /// The value in the messages of a row.
 pub fn row_value(rows: &[u8]) -> Option<&[u8]> {
     let mut rest = rows;
-    while let Front::Message { kind, body, whole } = front(rest, REPLY) {
+    while let Front::Message { kind, body, whole } = front(rest, ABSURD) {
         if kind == b'D' {
             return only_value(body).flatten();
         }
--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -155,7 +155,7 @@
     /// Reads one message between statements; says how many bytes that took.
     fn next(&mut self, input: &[u8], at: Point, out: &mut Outbox<Heard>) -> usize {
         let client = self.client;
-        match messages::front(input, messages::QUERY) {
+        match messages::front(input, messages::bound(self.room.most())) {
             Front::Partial => 0,
             Front::Malformed => {
                 self.malformed("unreadable message", out);
@@ -259,8 +259,13 @@
     /// An answer to a statement that is no longer out would be a second one, and is left out.
     fn told(&mut self, say: Say, at: Point, out: &mut Outbox<Heard>) {
         match say {
-            Say::Rows(bytes) if self.state == State::Out => {
-                out.bytes.extend(bytes);
+            Say::Rows(mut bytes) if self.state == State::Out => {
+                // Most often nothing waits to be written: then the bytes needn't be copied.
+                if out.bytes.is_empty() {
+                    out.bytes = bytes;
+                } else {
+                    out.bytes.append(&mut bytes);
+                }
                 self.answer(at, out);
             }
             Say::Error {
@@ -300,7 +305,7 @@
     /// kernel, not in this process.
     fn hungry(&self, unused: usize) -> bool {
         match self.state {
-            State::Opening | State::Between => unused <= messages::QUERY + 5,
+            State::Opening | State::Between => unused <= messages::bound(self.room.most()) + 5,
             State::Out => unused <= AHEAD,
             State::Over => false,
         }
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -32,7 +32,7 @@
 const CLIENTS: (usize, usize) = (2, 3);
 /// Part of the memory that clients may fill, with what they sent and what they leave unread, and members.
 const CLIENTS_MEMORY: usize = 4;
-const MEMBERS_MEMORY: usize = 8;
+const MEMBERS_MEMORY: usize = 4;
 
 /// What the outside world is told of.
 pub trait Observer {
--- a/crates/driver/src/transport/room.rs
+++ b/crates/driver/src/transport/room.rs
@@ -27,6 +27,10 @@
         self.0.most.store(most, Ordering::Relaxed);
     }
 
+    pub fn most(&self) -> usize {
+        self.0.most.load(Ordering::Relaxed)
+    }
+
     pub fn taken(&self) -> usize {
         self.0.taken.load(Ordering::Relaxed)
     }
@@ -64,6 +68,16 @@
     }
 }
 
+impl Taken {
+    /// Makes the part this large, also beyond what there may be: others find less then.
+    pub fn hold(&mut self, bytes: usize) {
+        let shared = &self.room.0;
+        shared.taken.fetch_add(bytes, Ordering::Relaxed);
+        shared.taken.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.bytes = bytes;
+    }
+}
+
 impl Drop for Taken {
     fn drop(&mut self) {
         self.resize(0);
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -193,8 +193,13 @@
                 bytes.shrink_to(2 * bytes.len());
             }
         }
-        let lying = self.input.len() + self.out.bytes.len();
-        self.taken.resize(lying.saturating_sub(SMALL))
+        let lying = (self.input.len() + self.out.bytes.len()).saturating_sub(SMALL);
+        // An answer that was begun is never cut off. While many are read slowly, statements find no room instead.
+        if !self.out.bytes.is_empty() {
+            self.taken.hold(lying);
+            return true;
+        }
+        self.taken.resize(lying)
     }
 
     /// One look at everything. Reading goes before commands, so that what is written to a connection whose
