A cold member that answers quickly may be sent twice its budget where views are dense

A probe: from 10 to 15 s they waited at two new primaries that had started lately, which stood idle or with one execution (open 0 to 1, bound up to 4.2, pace 0.08 to 0.23) while their budget's debt was paid off (cold_until). The budget is what warm members carry on the mean, times the warmth; a primary alone takes all writes and fresh reads of its group. Ruled out: let_in (2.0), the bound, and from 5 to 9.9 s only the wait for an election.

It can't act in sparse views, and the larger fleets have those.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,8 +54,10 @@
 const SESSIONS_KEPT: usize = 50_000;
 /// Between calls for the list after a failure, as a share of the time in which the list must be asked for.
 const ASK_SHARE: f64 = 0.1;
-/// Share of a cold member's budget that is used, since drivers can't see each other's sends.
+/// Share of a cold member's budget that is used, since drivers can't see each other's sends; and how often that
+/// may be what warm members carry on the mean, while its own answers show that it bears more.
 const COLD_CAUTION: f64 = 0.5;
+const COLD_PROVEN: f64 = 2.0;
 
 const RULES: [fn(&mut Driver) -> bool; 7] = [
     Driver::answer_in_time,
@@ -274,9 +276,8 @@
         (f.standing[m], f.zone[m], f.size[m]) = (e.standing, e.zone, e.size);
         f.drained[m] |= e.standing == Standing::Draining;
         let g = &mut self.groups[group];
-        if e.named_primary && g.primary.is_none() && !f.said_replica[m] {
-            g.primary = Some(m);
-        }
+        let named = e.named_primary && !f.said_replica[m];
+        g.primary = g.primary.or(named.then_some(m));
     }
 
     /// Newest evidence wins by the position it was given at, not by when it arrived: a primary stands at the
@@ -285,8 +286,7 @@
         let f = &mut self.members;
         let g = &mut self.groups[f.group[m]];
         if let Some(position) = s.position {
-            f.position[m] = f.position[m].max(position);
-            f.told_at[m] = Some(self.now);
+            (f.position[m], f.told_at[m]) = (f.position[m].max(position), Some(self.now));
         }
         let at = s.position.unwrap_or(self.now - took);
         if s.is_primary == Some(true) && at >= g.primary_at {
@@ -669,7 +669,8 @@
         let share = f.size[m] / self.warm_size.max(0.01);
         let carried = self.borne.total.ratio(self.settings.fall_span) * share.min(1.0);
         let pays = carried.max(1.0 / f64::from(self.settings.driver_count)) * warmth;
-        let used = (COLD_CAUTION * self.settings.fall_multiple).min(1.0);
+        let proves = !self.sparse() && f.pace[m] < GOOD_PACE;
+        let used = (COLD_CAUTION * self.settings.fall_multiple).min(if proves { COLD_PROVEN } else { 1.0 });
         f.debt_at[m] + f.debt[m] * (1.0 / (pays * used))
     }
 
@@ -686,8 +687,7 @@
     fn probe_due(&self, m: usize) -> Option<Point> {
         let f = &self.members;
         let g = &self.groups[f.group[m]];
-        let unheard = f.told_at[m].is_none() && !f.said_replica[m];
-        let wanted = unheard || f.shunned[m] || g.wants_primary;
+        let wanted = f.told_at[m].is_none() && !f.said_replica[m] || f.shunned[m] || g.wants_primary;
         // An ageing position needs a way back: answers give it, a probe where none come.
         let ageing = !self.settings.members_check_reads && g.lacking_until > self.now && Some(m) != g.primary;
         let aged_at = f.probe_at[m].max(f.told_at[m].unwrap_or_default() + OVERDUE);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -222,6 +222,29 @@
     }
 }
 
+/// Where a driver hears much of its members, a cold one whose answers come in good time gets up to twice its budget.
+#[test]
+fn a_cold_member_that_proves_itself_gets_more() {
+    // (time of the cold member's answers; the least and the most sent there in a second)
+    for (took, least, most) in [(50, 30, 45), (450, 5, 25)] {
+        let mut b = bench(&with(|s| s.fall_multiple = 4.0), 3);
+        let mut sent = 0;
+        for now in (0..5000).step_by(10) {
+            if now == 3000 {
+                b.told(now, started(2, at(now) - ms(3000)));
+            }
+            let (id, r) = b.take(now, READ);
+            for e in r.executions {
+                let took = if e.member == 2 { took } else { 50 };
+                let end = ended(id, e.member, Completed, took, seen(now, e.member == 1));
+                b.driver.execution_ended(at(now + 1), &end);
+                sent += usize::from(e.member == 2 && now >= 4000);
+            }
+        }
+        assert!((least..=most).contains(&sent), "{sent} that took {took}");
+    }
+}
+
 #[test]
 fn reads_go_only_where_they_are_fresh() {
     // (members check reads, workload, written so long ago, replica's position and when told, read at; member)
