--- a/crates/driver/src/routing/clients.rs
+++ b/crates/driver/src/routing/clients.rs
@@ -10,9 +10,13 @@
 const ARRIVING: Span = Span::millis(2500);
 /// From the first byte of a message to its last.
 const MESSAGE: Span = Span::millis(2500);
-/// Between two statements; shorter where more than half of the places are taken.
-const RESTING: Span = Span::millis(10_000);
-const RESTING_CROWDED: Span = Span::millis(2200);
+/// Between two statements, by the part of all places that those who have asked hold. Clients that ask once and stay
+/// would else keep those out that are still to ask: they may hold a part of the descriptors only, and wait for it.
+const RESTING: [(f64, Span); 3] = [
+    (0.4, Span::millis(100)),
+    (0.25, Span::millis(2200)),
+    (0.0, Span::millis(10_000)),
+];
 /// Who came within this may have sent its first statement already.
 const JUST_CAME: Span = Span::millis(300);
 
@@ -30,6 +34,7 @@
     line: Line<Say>,
     stmt: Option<u32>,
     pause: Option<(Pause, Point)>,
+    has_asked: bool,
     /// It was told that there is no room for it, so nothing it sends is taken.
     turned_away: bool,
 }
@@ -38,6 +43,8 @@
     open: BTreeMap<u32, Client>,
     /// Those in each kind of pause, by its start.
     pauses: [BTreeSet<(Point, u32)>; 3],
+    /// How many of all have asked for something.
+    asked: usize,
     most: usize,
     leaving: bool,
 }
@@ -56,6 +63,7 @@
         Clients {
             open: BTreeMap::new(),
             pauses: Default::default(),
+            asked: 0,
             most,
             leaving: false,
         }
@@ -87,6 +95,7 @@
             line,
             stmt: None,
             pause: None,
+            has_asked: false,
             turned_away: room == Room::None,
         };
         self.open.insert(id, client);
@@ -132,8 +141,11 @@
         match pause {
             Pause::Arriving => ARRIVING,
             Pause::Writing => MESSAGE,
-            Pause::Resting if self.open.len() * 2 > self.most => RESTING_CROWDED,
-            Pause::Resting => RESTING,
+            Pause::Resting => {
+                let part = self.asked as f64 / self.most as f64;
+                let found = RESTING.iter().find(|(from, _)| part >= *from);
+                found.map_or(MESSAGE, |(_, limit)| *limit)
+            }
         }
     }
 
@@ -185,7 +197,11 @@
     /// It has sent a statement; whether that may be taken.
     pub fn asks(&mut self, id: u32) -> bool {
         self.set(id, None);
-        self.open.get(&id).is_some_and(|c| !c.turned_away)
+        let Some(client) = self.open.get_mut(&id) else {
+            return false;
+        };
+        self.asked += usize::from(!std::mem::replace(&mut client.has_asked, true));
+        !client.turned_away
     }
 
     pub fn waits_for(&mut self, id: u32, stmt: Option<u32>) {
@@ -197,7 +213,9 @@
     /// Its connection is over; says which statement it waited for.
     pub fn gone(&mut self, id: u32) -> Option<u32> {
         self.set(id, None);
-        self.open.remove(&id)?.stmt
+        let client = self.open.remove(&id)?;
+        self.asked -= usize::from(client.has_asked);
+        client.stmt
     }
 
     pub fn say(&self, id: u32, say: Say) {
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -596,21 +596,27 @@
 #[test]
 fn clients_that_hold_a_place_and_ask_nothing_are_let_go() {
     #[rustfmt::skip]
-    let cases: [(&str, u32, &[Step]); 7] = [
+    let cases: [(&str, u32, &[Step]); 9] = [
         ("says nothing", 0, &[(2499, "", ""), (2500, "", "time up")]),
         ("opens and asks nothing", 0, &[(100, "idle", ""), (2499, "", ""), (2500, "", "time up")]),
         ("half a message first", 0, &[(100, "idle", ""), (200, "writes", ""), (2500, "", "time up")]),
         ("half a message later", 0, &[(100, "asks", "rows(v)"), (100, "idle", ""), (5000, "writes", ""), (7499, "", ""), (7500, "", "time up")]),
         ("a message in pieces", 0, &[(100, "asks", "rows(v)"), (100, "idle", ""), (5000, "writes", ""), (7000, "asks", "rows(v)"), (9000, "", "")]),
         ("rests", 0, &[(100, "asks", "rows(v)"), (100, "idle", ""), (10_099, "", ""), (10_100, "", "leave")]),
-        ("rests among many", 12, &[(100, "asks", "rows(v)"), (100, "idle", ""), (2299, "", ""), (2300, "", "leave")]),
+        ("rests among many", 4, &[(100, "asks", "rows(v)"), (100, "idle", ""), (2299, "", ""), (2300, "", "leave")]),
+        ("rests among too many", 7, &[(100, "asks", "rows(v)"), (100, "idle", ""), (199, "", ""), (200, "", "leave")]),
+        ("rests among many that say nothing", 0, &[(100, "asks", "rows(v)"), (100, "idle", ""), (200, "silence", ""), (10_099, "", ""), (10_100, "", "leave")]),
     ];
     for (name, others, steps) in cases {
         // 20 places for clients.
         let mut s = Stage::new(SETTINGS, 78, 192 << 20);
         let start = s.now;
         s.client(1);
-        (2..2 + others).for_each(|id| s.client(id));
+        for id in 2..2 + others {
+            s.client(id);
+            s.asks(id, "c=view,d=60000,cluster=1");
+            s.sent();
+        }
         for (ms, does, told) in steps {
             s.pass((start + Span::millis(*ms) - s.now).0 / 1000);
             let (client, since) = (1, s.now);
@@ -619,6 +625,7 @@
                 "writes" => s
                     .owner
                     .take(s.now, Input::Client(Client::Writing { client, since })),
+                "silence" => (50..60).for_each(|id| s.client(id)),
                 "asks" => {
                     s.asks(1, POST);
                     let (connection, _) = s.sent().expect("is sent at once");
