What a client has sent ahead is answered before it is let go, also while draining

Now a session that is told to leave ends when nothing lies behind, 16 KB of a row are read ahead, and a draining process waits a second from the last open statement.

--- a/crates/driver/src/program/phases.rs
+++ b/crates/driver/src/program/phases.rs
@@ -33,12 +33,15 @@
 /// How long clients may still arrive once the process was told to leave.
 const ARRIVALS: Span = Span::millis(450);
 
-/// How long a client that has its answer, and doesn't read it, is waited for.
+/// How long a client that has its answer, and doesn't read it, is waited for; and since the last statement was open,
+/// for the next one of a row may be on its way to the owner.
 const LINGER: Span = Span::millis(1000);
 
 #[derive(Default)]
 pub struct Phases {
     phase: Phase,
+    /// When a statement was last seen open.
+    busy_at: Point,
 }
 
 /// What the phases depend on.
@@ -53,12 +56,15 @@
 impl Phases {
     /// Goes one phase on, if it is time for that.
     pub fn advance(&mut self, now: Point, seen: &Seen) -> Option<Phase> {
+        if seen.open_statements > 0 {
+            self.busy_at = now;
+        }
         let next = match self.phase {
             Phase::Starting if seen.listening => Phase::Serving,
             Phase::Serving if seen.told_to_leave => Phase::Leaving { since: now },
             Phase::Leaving { since } if now - since >= ARRIVALS => Phase::Draining { since: now },
             Phase::Draining { .. } if seen.listener_closed && seen.open_clients == 0 => Phase::Stopped,
-            Phase::Draining { since } if seen.open_statements == 0 && now - since >= LINGER => Phase::Stopped,
+            Phase::Draining { since } if now - since.max(self.busy_at) >= LINGER => Phase::Stopped,
             _ => return None,
         };
         self.phase = next;
@@ -69,7 +75,9 @@
     pub fn next_at(&self, now: Point) -> Point {
         match self.phase {
             Phase::Leaving { since } => since + ARRIVALS,
-            Phase::Draining { since } if now < since + LINGER => since + LINGER,
+            Phase::Draining { since } if now < since.max(self.busy_at) + LINGER => {
+                since.max(self.busy_at) + LINGER
+            }
             _ => Point(u64::MAX),
         }
     }
--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -65,8 +65,9 @@
     TurnAway,
 }
 
-/// Bytes that a client may have sent ahead of its answer before it isn't read any further.
-const AHEAD: usize = 4096;
+/// Bytes that a client may have sent ahead of its answer before it isn't read any further. What is not read when it
+/// is let go is lost, so a row of usual statements fits in.
+const AHEAD: usize = 16 * 1024;
 
 #[derive(Clone, Copy, PartialEq)]
 enum State {
@@ -212,7 +213,7 @@
     fn answer(&mut self, at: Point, out: &mut Outbox<Heard>) {
         messages::put_ready(&mut out.bytes);
         self.rest(at, out);
-        self.end_if_leaving(out);
+        // Whether it ends now is for `heard` to say, which follows: a statement may lie here already.
     }
 
     fn end_if_leaving(&mut self, out: &mut Outbox<Heard>) {
--- a/crates/driver/tests/process.rs
+++ b/crates/driver/tests/process.rs
@@ -27,7 +27,10 @@
             (0, true, false, 1, 1, Phase::Leaving { since: at(0) }),
             (450, true, false, 1, 1, Phase::Draining { since: at(450) }),
             (9000, true, true, 1, 1, Phase::Draining { since: at(450) }),
-            (9001, true, true, 1, 0, Phase::Stopped),
+            (9001, true, true, 1, 0, Phase::Draining { since: at(450) }),
+            (9500, true, true, 1, 1, Phase::Draining { since: at(450) }),
+            (10_499, true, true, 1, 0, Phase::Draining { since: at(450) }),
+            (10_500, true, true, 1, 0, Phase::Stopped),
         ]),
         ("told to leave before it serves", vec![(0, true, true, 0, 0, Phase::Leaving { since: at(0) })]),
     ];
--- a/crates/driver/tests/protocol.rs
+++ b/crates/driver/tests/protocol.rs
@@ -96,7 +96,23 @@
     session.heard(&mut input, AT, &mut out);
     assert_eq!(client_news(&out.notices), "idle writing stmt(SELECT 1)");
     session.told(Say::Rows(Vec::new()), AT, &mut out);
+    session.heard(&mut input, AT, &mut out);
+    assert!(out.close);
+    // Told to leave with statements behind the one that is out: they have come, so all are answered.
+    let (mut session, mut out) = (Session::new(1, Room::new(1 << 20)), Outbox::default());
+    input.extend(after(&[query("a"), query("b"), query("c")].concat()));
+    session.heard(&mut input, AT, &mut out);
+    session.told(Say::Leave, AT, &mut out);
+    for n in 0..3 {
+        assert!(!out.close, "{n}");
+        session.told(Say::Rows(Vec::new()), AT, &mut out);
+        session.heard(&mut input, AT, &mut out);
+    }
     assert!(out.close);
+    assert_eq!(
+        client_news(&out.notices),
+        "idle stmt(a) idle stmt(b) idle stmt(c) idle"
+    );
 }
 
 /// A startup message of this version and these fields.
