Statements of a row are executed side by side and answered in order

A connection has a row now: up to 16 statements open at once, each with its own time; answers that are ready early wait for those before them; further ones and whatever is no statement stay unread until then. What a client leaves open is called off with its end.

--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -1,15 +1,18 @@
-//! A client's connection: startup, then one statement after another.
+//! A client's connection: startup, then statements, which may come in rows and are answered in their order.
 
 use super::messages::{self, Front, Opening};
 use crate::transport::room::{Room, Taken};
 use crate::transport::stream::{Dialogue, Outbox};
 use asterlatch::time::Point;
+use std::collections::VecDeque;
 
 /// News of a client.
 pub enum Heard {
     /// A statement, as it came, read whole at this time.
     Statement {
         client: u32,
+        /// Its number on this connection, by which it is answered.
+        number: u32,
         text: Text,
         at: Point,
     },
@@ -68,12 +71,13 @@
 /// Bytes that a client may have sent ahead of its answer before it isn't read any further. What is not read when it
 /// is let go is lost, so a row of usual statements fits in.
 const AHEAD: usize = 16 * 1024;
+/// Statements of one client that may be open at once; the others of a row wait.
+const ROW: usize = 16;
 
 #[derive(Clone, Copy, PartialEq)]
 enum State {
     Opening,
-    Between,
-    Out,
+    Open,
     Over,
 }
 
@@ -85,6 +89,10 @@
     begun: bool,
     /// Of an oversized query, still to be passed over.
     skip: usize,
+    /// Statements without an answer, and answers that wait for those before them, in the order of their numbers.
+    row: VecDeque<Option<Vec<u8>>>,
+    /// The number of the first in the row.
+    first: u32,
     /// For statements that have no answer yet.
     room: Room,
 }
@@ -97,6 +105,8 @@
             leaving: false,
             begun: false,
             skip: 0,
+            row: VecDeque::new(),
+            first: 0,
             room,
         }
     }
@@ -149,15 +159,21 @@
 
     fn rest(&mut self, at: Point, out: &mut Outbox<Heard>) {
         let client = self.client;
-        self.state = State::Between;
+        self.state = State::Open;
         out.notices.push(Heard::Idle { client, since: at });
     }
 
-    /// Reads one message between statements; says how many bytes that took.
+    /// Reads one message; says how many bytes that took. Behind open statements only a further one is read.
     fn next(&mut self, input: &[u8], at: Point, out: &mut Outbox<Heard>) -> usize {
-        let client = self.client;
-        match messages::front(input, messages::bound(self.room.most())) {
+        let front = messages::front(input, messages::bound(self.room.most()));
+        match front {
             Front::Partial => 0,
+            Front::Message { kind: b'Q', body, .. }
+                if self.row.len() < ROW && messages::text(body).is_some() =>
+            {
+                self.query(front, at, out)
+            }
+            _ if !self.row.is_empty() => 0,
             Front::Malformed => {
                 self.malformed("unreadable message", out);
                 0
@@ -170,32 +186,9 @@
                 self.skip = whole;
                 0
             }
-            Front::Message {
-                kind: b'Q',
-                body,
-                whole,
-            } => {
-                match messages::text(body) {
-                    None => self.malformed("unreadable query", out),
-                    Some(text) if text.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() => {
-                        // No news: a client that sends nothing else would fill the owner's queue.
-                        messages::put(&mut out.bytes, b'I', &[]);
-                        messages::put_ready(&mut out.bytes);
-                    }
-                    Some(text) => match Text::new(text, &self.room) {
-                        Some(text) => {
-                            out.notices.push(Heard::Statement { client, text, at });
-                            self.state = State::Out;
-                        }
-                        None => {
-                            out.notices.push(Heard::NoRoom);
-                            let said = "no memory is left for the statement";
-                            messages::put_error(&mut out.bytes, "ERROR", "53300", said, None);
-                            messages::put_ready(&mut out.bytes);
-                        }
-                    },
-                }
-                whole
+            Front::Message { kind: b'Q', .. } => {
+                self.malformed("unreadable query", out);
+                0
             }
             Front::Message {
                 kind: b'X', whole, ..
@@ -210,21 +203,74 @@
         }
     }
 
-    fn answer(&mut self, at: Point, out: &mut Outbox<Heard>) {
-        messages::put_ready(&mut out.bytes);
-        self.rest(at, out);
+    fn query(&mut self, front: Front, at: Point, out: &mut Outbox<Heard>) -> usize {
+        let Front::Message { body, whole, .. } = front else {
+            return 0;
+        };
+        let (client, text) = (self.client, messages::text(body).unwrap_or_default());
+        let mut said = Vec::new();
+        if text.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() {
+            // No news: a client that sends nothing else would fill the owner's queue.
+            messages::put(&mut said, b'I', &[]);
+        } else if let Some(text) = Text::new(text, &self.room) {
+            let number = self.first.wrapping_add(self.row.len() as u32);
+            self.row.push_back(None);
+            out.notices.push(Heard::Statement {
+                client,
+                number,
+                text,
+                at,
+            });
+            return whole;
+        } else {
+            out.notices.push(Heard::NoRoom);
+            let why = "no memory is left for the statement";
+            messages::put_error(&mut said, "ERROR", "53300", why, None);
+        }
+        messages::put_ready(&mut said);
+        if self.row.is_empty() {
+            out.bytes.append(&mut said);
+        } else {
+            self.row.push_back(Some(said));
+        }
+        whole
+    }
+
+    /// Gives a statement its answer, and writes what none before it keeps back any more.
+    fn answer(&mut self, number: u32, answer: Vec<u8>, at: Point, out: &mut Outbox<Heard>) {
+        let place = number.wrapping_sub(self.first) as usize;
+        // An answer to a statement that has its own would be a second one, and is left out.
+        let open = self.row.get_mut(place).filter(|a| a.is_none());
+        let Some(open) = open.filter(|_| self.state == State::Open) else {
+            return;
+        };
+        *open = Some(answer);
+        while let Some(answer) = self.row.front_mut().and_then(Option::take) {
+            self.row.pop_front();
+            self.first = self.first.wrapping_add(1);
+            // Most often nothing waits to be written: then the bytes needn't be copied.
+            if out.bytes.is_empty() {
+                out.bytes = answer;
+            } else {
+                out.bytes.extend(answer);
+            }
+        }
         // Whether it ends now is for `heard` to say, which follows: a statement may lie here already.
+        if self.row.is_empty() {
+            self.rest(at, out);
+        }
     }
 
     fn end_if_leaving(&mut self, out: &mut Outbox<Heard>) {
-        if self.leaving && !self.begun && matches!(self.state, State::Opening | State::Between) {
+        if self.leaving && !self.begun && self.row.is_empty() && self.state != State::Over {
             self.close(out);
         }
     }
 }
 
 impl Dialogue for Session {
-    type Command = Say;
+    /// With the number of the statement that is answered.
+    type Command = (u32, Say);
     type Notice = Heard;
 
     fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Heard>) {
@@ -236,8 +282,7 @@
             let taken = match self.state {
                 _ if self.skip > 0 => break,
                 State::Opening => self.open(&input[used..], at, out),
-                State::Between => self.next(&input[used..], at, out),
-                State::Out => break,
+                State::Open => self.next(&input[used..], at, out),
                 State::Over => input.len() - used,
             };
             used += taken;
@@ -246,49 +291,45 @@
             }
         }
         input.drain(..used);
-        let begun = self.state == State::Between && (self.skip > 0 || !input.is_empty());
+        let unread = self.skip > 0 || !input.is_empty();
+        let begun = self.state == State::Open && self.row.is_empty() && unread;
         let (client, since) = (self.client, at);
         if begun && !self.begun {
             out.notices.push(Heard::Writing { client, since });
-        } else if self.begun && !begun && self.state == State::Between {
+        } else if self.begun && !begun && self.state == State::Open && self.row.is_empty() {
             out.notices.push(Heard::Idle { client, since });
         }
         self.begun = begun;
         self.end_if_leaving(out);
     }
 
-    /// An answer to a statement that is no longer out would be a second one, and is left out.
-    fn told(&mut self, say: Say, at: Point, out: &mut Outbox<Heard>) {
+    fn told(&mut self, (number, say): (u32, Say), at: Point, out: &mut Outbox<Heard>) {
         match say {
-            Say::Rows(mut bytes) if self.state == State::Out => {
-                // Most often nothing waits to be written: then the bytes needn't be copied.
-                if out.bytes.is_empty() {
-                    out.bytes = bytes;
-                } else {
-                    out.bytes.append(&mut bytes);
-                }
-                self.answer(at, out);
+            Say::Rows(mut bytes) => {
+                messages::put_ready(&mut bytes);
+                self.answer(number, bytes, at, out);
             }
             Say::Error {
                 code,
                 message,
                 hold_off_ms,
-            } if self.state == State::Out => {
-                messages::put_error(&mut out.bytes, "ERROR", code, message, hold_off_ms);
-                self.answer(at, out);
+            } => {
+                let mut bytes = Vec::new();
+                messages::put_error(&mut bytes, "ERROR", code, message, hold_off_ms);
+                messages::put_ready(&mut bytes);
+                self.answer(number, bytes, at, out);
             }
-            Say::Rows(_) | Say::Error { .. } => {}
             Say::Leave => {
                 self.leaving = true;
                 self.end_if_leaving(out);
             }
             Say::TurnAway if self.state == State::Over => {}
             // Another answer than none would be taken for that of a statement which is on its way.
-            Say::TimeUp if self.state == State::Between && !self.begun => self.close(out),
-            Say::TimeUp if matches!(self.state, State::Opening | State::Between) => {
+            Say::TimeUp if !self.row.is_empty() || self.state == State::Over => {}
+            Say::TimeUp if self.state == State::Open && !self.begun => self.close(out),
+            Say::TimeUp => {
                 self.malformed("the message was not ended in time", out);
             }
-            Say::TimeUp => {}
             Say::TurnAway => self.fatal("53300", "too many connections", out),
         }
     }
@@ -306,9 +347,9 @@
     /// kernel, not in this process.
     fn hungry(&self, unused: usize) -> bool {
         match self.state {
-            State::Opening | State::Between => unused <= messages::bound(self.room.most()) + 5,
-            State::Out => unused <= AHEAD,
             State::Over => false,
+            _ if self.row.is_empty() => unused <= messages::bound(self.room.most()) + 5,
+            _ => unused <= AHEAD,
         }
     }
 }
--- a/crates/driver/src/routing/clients.rs
+++ b/crates/driver/src/routing/clients.rs
@@ -31,8 +31,9 @@
 }
 
 struct Client {
-    line: Line<Say>,
-    stmt: Option<u32>,
+    line: Line<(u32, Say)>,
+    /// Its open statements.
+    stmts: Vec<u32>,
     pause: Option<(Pause, Point)>,
     has_asked: bool,
     /// It was told that there is no room for it, so nothing it sends is taken.
@@ -79,21 +80,21 @@
 
     /// Takes in a client that the kernel has accepted. Where all are busy beyond the bound it is turned away
     /// before it can send anything: that word could come for a statement that runs already.
-    pub fn arrive(&mut self, now: Point, id: u32, line: Line<Say>) -> Room {
+    pub fn arrive(&mut self, now: Point, id: u32, line: Line<(u32, Say)>) -> Room {
         if self.leaving {
-            line.tell(Say::Leave);
+            line.tell((0, Say::Leave));
         }
         let room = if self.open.len() < self.most {
             Room::Free
         } else if self.free_one(now) {
             Room::Made
         } else {
-            line.tell(Say::TurnAway);
+            line.tell((0, Say::TurnAway));
             Room::None
         };
         let client = Client {
             line,
-            stmt: None,
+            stmts: Vec::new(),
             pause: None,
             has_asked: false,
             turned_away: room == Room::None,
@@ -204,29 +205,42 @@
         !client.turned_away
     }
 
-    pub fn waits_for(&mut self, id: u32, stmt: Option<u32>) {
+    pub fn waits_for(&mut self, id: u32, stmt: u32) {
         if let Some(client) = self.open.get_mut(&id) {
-            client.stmt = stmt;
+            client.stmts.push(stmt);
         }
     }
 
-    /// Its connection is over; says which statement it waited for.
-    pub fn gone(&mut self, id: u32) -> Option<u32> {
+    pub fn has_answer(&mut self, id: u32, stmt: u32) {
+        if let Some(client) = self.open.get_mut(&id) {
+            client.stmts.retain(|s| *s != stmt);
+        }
+    }
+
+    /// Its connection is over; says which statements it waited for.
+    pub fn gone(&mut self, id: u32) -> Vec<u32> {
         self.set(id, None);
-        let client = self.open.remove(&id)?;
+        let Some(client) = self.open.remove(&id) else {
+            return Vec::new();
+        };
         self.asked -= usize::from(client.has_asked);
-        client.stmt
+        client.stmts
     }
 
     pub fn say(&self, id: u32, say: Say) {
+        self.answer(id, 0, say);
+    }
+
+    /// Answers the statement with this number on its client's connection.
+    pub fn answer(&self, id: u32, number: u32, say: Say) {
         if let Some(client) = self.open.get(&id) {
-            client.line.tell(say);
+            client.line.tell((number, say));
         }
     }
 
     /// Lets each go between two statements, those to come included.
     pub fn send_away(&mut self) {
         self.leaving = true;
-        self.open.values().for_each(|c| c.line.tell(Say::Leave));
+        self.open.values().for_each(|c| c.line.tell((0, Say::Leave)));
     }
 }
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -259,7 +259,7 @@
         self.clients.send_away();
     }
 
-    fn arrived(&mut self, now: Point, arrival: Arrival<Say>) {
+    fn arrived(&mut self, now: Point, arrival: Arrival<(u32, Say)>) {
         match arrival {
             Arrival::Client(id, line) => {
                 self.figures.clients_accepted += 1;
@@ -282,9 +282,14 @@
 
     fn client_heard(&mut self, now: Point, heard: client::Heard) {
         match heard {
-            client::Heard::Statement { client, text, at } => {
+            client::Heard::Statement {
+                client,
+                number,
+                text,
+                at,
+            } => {
                 if self.clients.asks(client) {
-                    self.statement(now, client, text, at);
+                    self.statement(now, (client, number), text, at);
                 }
             }
             client::Heard::Idle { client, since } => self.clients.rests(client, since),
@@ -297,8 +302,10 @@
             client::Heard::NoRoom => self.figures.rejected_for_memory += 1,
             client::Heard::Oversized => self.figures.statements_unreadable += 1,
             client::Heard::Gone { client } => {
-                let stmt = self.clients.gone(client);
-                if let Some(stmt) = stmt.filter(|s| self.statements.release(*s).is_some()) {
+                for stmt in self.clients.gone(client) {
+                    if self.statements.release(stmt).is_none() {
+                        continue;
+                    }
                     self.figures.withdrawn += 1;
                     let results = self.module.statement_withdrawn(now, stmt);
                     self.carry_out(now, results);
@@ -307,7 +314,7 @@
         }
     }
 
-    fn statement(&mut self, now: Point, client: u32, text: Text, at: Point) {
+    fn statement(&mut self, now: Point, (client, number): (u32, u32), text: Text, at: Point) {
         let marked = comment::read(&text.text);
         let (workload, marked) = match marked.and_then(|m| Ok((self.routable(&m)?, m))) {
             Ok(marked) => marked,
@@ -321,12 +328,12 @@
                     message,
                     hold_off_ms,
                 };
-                return self.clients.say(client, say);
+                return self.clients.answer(client, number, say);
             }
         };
         self.figures.statements_taken += 1;
-        let (id, times_out) = self.statements.hold(client, text, &marked, at);
-        self.clients.waits_for(client, Some(id));
+        let (id, times_out) = self.statements.hold((client, number), text, &marked, at);
+        self.clients.waits_for(client, id);
         let sessions = matches!(self.freshness[workload], Freshness::Session | Freshness::Write);
         let key = marked.key.as_deref().filter(|_| sessions);
         let taken = Statement {
@@ -358,12 +365,12 @@
 
     /// Gives a statement its one final answer; a later one finds it gone.
     fn answer(&mut self, stmt: u32, say: Say) -> bool {
-        let Some(client) = self.statements.release(stmt) else {
+        let Some((client, number)) = self.statements.release(stmt) else {
             self.figures.late_answers_dropped += 1;
             return false;
         };
-        self.clients.waits_for(client, None);
-        self.clients.say(client, say);
+        self.clients.has_answer(client, stmt);
+        self.clients.answer(client, number, say);
         true
     }
 
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -9,6 +9,8 @@
 
 struct Held {
     client: u32,
+    /// Its number on the client's connection.
+    number: u32,
     /// What its client calls it.
     name: u64,
     text: Text,
@@ -42,11 +44,18 @@
     }
 
     /// Holds a statement that came at `at`, and gives it an id; says that and its statement timeout.
-    pub fn hold(&mut self, client: u32, text: Text, marked: &Marked, at: Point) -> (u32, Point) {
+    pub fn hold(
+        &mut self,
+        (client, number): (u32, u32),
+        text: Text,
+        marked: &Marked,
+        at: Point,
+    ) -> (u32, Point) {
         self.next = self.next.wrapping_add(1);
         let times_out = at + Span::millis(marked.left_ms.min(LONGEST_WAIT_MS));
         let held = Held {
             client,
+            number,
             name: marked.id,
             text,
             left_at: marked.left_at.clone(),
@@ -58,11 +67,12 @@
         (self.next, times_out)
     }
 
-    /// Lets go of one that has its final answer, or needs none; says whose it was.
-    pub fn release(&mut self, id: u32) -> Option<u32> {
+    /// Lets go of one that has its final answer, or needs none; says whose it was, and
+    /// its number there.
+    pub fn release(&mut self, id: u32) -> Option<(u32, u32)> {
         let held = self.held.remove(&id)?;
         self.names.remove(&held.name);
-        Some(held.client)
+        Some((held.client, held.number))
     }
 
     /// The number of its next execution, and until when that may be waited for.
