Read through: final answers as a type of their own, shares and limits written once

No change of behaviour was meant. What a client's connection is told carries a number only where it is an answer, and the three places that built an error's bytes are one (session.rs, endings.rs, owner.rs); a query's text is checked once instead of twice; all answers of a row go out by one loop. The kinds of pauses, the shares of memory and the end of the lingering stand once each; a missing limit of rest no longer falls back to that of a message. A probe looks at what is out only where its member was shunned, as before in effect; a new member's columns are written once. Assertions are as they were.

--- a/crates/driver/src/program/phases.rs
+++ b/crates/driver/src/program/phases.rs
@@ -64,20 +64,22 @@
             Phase::Serving if seen.told_to_leave => Phase::Leaving { since: now },
             Phase::Leaving { since } if now - since >= ARRIVALS => Phase::Draining { since: now },
             Phase::Draining { .. } if seen.listener_closed && seen.open_clients == 0 => Phase::Stopped,
-            Phase::Draining { since } if now - since.max(self.busy_at) >= LINGER => Phase::Stopped,
+            Phase::Draining { since } if now >= self.lingers_until(since) => Phase::Stopped,
             _ => return None,
         };
         self.phase = next;
         Some(next)
     }
 
+    fn lingers_until(&self, draining_since: Point) -> Point {
+        draining_since.max(self.busy_at) + LINGER
+    }
+
     /// When time alone takes it on.
     pub fn next_at(&self, now: Point) -> Point {
         match self.phase {
             Phase::Leaving { since } => since + ARRIVALS,
-            Phase::Draining { since } if now < since.max(self.busy_at) + LINGER => {
-                since.max(self.busy_at) + LINGER
-            }
+            Phase::Draining { since } if now < self.lingers_until(since) => self.lingers_until(since),
             _ => Point(u64::MAX),
         }
     }
--- a/crates/driver/src/protocol/comment.rs
+++ b/crates/driver/src/protocol/comment.rs
@@ -44,6 +44,7 @@
 pub const NO_GROUP: Unreadable = unreadable("22023", "no member of this group is known");
 pub const NO_WORKLOAD: Unreadable = unreadable("22023", "no such workload");
 pub const SAME_ID: Unreadable = unreadable("22023", "another statement with this id is open");
+pub const NO_ROOM: Unreadable = unreadable("53300", "no memory is left for the statement");
 pub const TOO_LARGE: Unreadable = unreadable("54000", "the statement or its value is too large");
 
 /// The same number for the same text, in each run.
--- a/crates/driver/src/protocol/messages.rs
+++ b/crates/driver/src/protocol/messages.rs
@@ -8,15 +8,8 @@
 const TOGETHER: usize = 16;
 
 /// The longest message that is taken, where all have so much room together.
-pub const fn bound(room: usize) -> usize {
-    let part = room / TOGETHER;
-    if part < LEAST {
-        LEAST
-    } else if part > ABSURD {
-        ABSURD
-    } else {
-        part
-    }
+pub fn bound(room: usize) -> usize {
+    (room / TOGETHER).clamp(LEAST, ABSURD)
 }
 
 /// A message that lies whole at the front, what is known of one that doesn't, or that it can't be one.
--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -1,5 +1,6 @@
 //! A client's connection: startup, then statements, which may come in rows and are answered in their order.
 
+use super::comment::{Unreadable, NO_ROOM, TOO_LARGE};
 use super::messages::{self, Front, Opening};
 use crate::transport::room::{Room, Taken};
 use crate::transport::stream::{Dialogue, Outbox};
@@ -51,8 +52,8 @@
     }
 }
 
-/// The one final answer of the statement that is out, or how to end.
-pub enum Say {
+/// The one final answer of a statement.
+pub enum Final {
     /// The messages of a member's answer, as they came.
     Rows(Vec<u8>),
     Error {
@@ -60,6 +61,42 @@
         message: &'static str,
         hold_off_ms: Option<u64>,
     },
+}
+
+impl From<Unreadable> for Final {
+    fn from(Unreadable { code, message }: Unreadable) -> Final {
+        Final::Error {
+            code,
+            message,
+            hold_off_ms: None,
+        }
+    }
+}
+
+impl Final {
+    /// As it goes to the client, who may ask again behind it.
+    fn into_bytes(self) -> Vec<u8> {
+        let mut bytes = match self {
+            Final::Rows(bytes) => bytes,
+            Final::Error {
+                code,
+                message,
+                hold_off_ms,
+            } => {
+                let mut bytes = Vec::new();
+                messages::put_error(&mut bytes, "ERROR", code, message, hold_off_ms);
+                bytes
+            }
+        };
+        messages::put_ready(&mut bytes);
+        bytes
+    }
+}
+
+/// What a client's connection is told.
+pub enum Say {
+    /// The answer of the statement with this number.
+    Answer(u32, Final),
     /// Closes once nothing is out.
     Leave,
     /// Ends the connection of whoever took too long to send something whole.
@@ -165,14 +202,23 @@
 
     /// Reads one message; says how many bytes that took. Behind open statements only a further one is read.
     fn next(&mut self, input: &[u8], at: Point, out: &mut Outbox<Heard>) -> usize {
-        let front = messages::front(input, messages::bound(self.room.most()));
-        match front {
+        match messages::front(input, messages::bound(self.room.most())) {
             Front::Partial => 0,
-            Front::Message { kind: b'Q', body, .. }
-                if self.row.len() < ROW && messages::text(body).is_some() =>
-            {
-                self.query(front, at, out)
-            }
+            Front::Message {
+                kind: b'Q',
+                body,
+                whole,
+            } if self.row.len() < ROW => match messages::text(body) {
+                Some(text) => {
+                    self.query(text, at, out);
+                    whole
+                }
+                None if self.row.is_empty() => {
+                    self.malformed("unreadable query", out);
+                    0
+                }
+                None => 0,
+            },
             _ if !self.row.is_empty() => 0,
             Front::Malformed => {
                 self.malformed("unreadable message", out);
@@ -180,16 +226,11 @@
             }
             Front::TooLong { kind: b'Q', whole } => {
                 out.notices.push(Heard::Oversized);
-                let fault = super::comment::TOO_LARGE;
-                messages::put_error(&mut out.bytes, "ERROR", fault.code, fault.message, None);
-                messages::put_ready(&mut out.bytes);
+                self.row.push_back(Some(Final::from(TOO_LARGE).into_bytes()));
+                self.flush(out);
                 self.skip = whole;
                 0
             }
-            Front::Message { kind: b'Q', .. } => {
-                self.malformed("unreadable query", out);
-                0
-            }
             Front::Message {
                 kind: b'X', whole, ..
             } => {
@@ -203,17 +244,16 @@
         }
     }
 
-    fn query(&mut self, front: Front, at: Point, out: &mut Outbox<Heard>) -> usize {
-        let Front::Message { body, whole, .. } = front else {
-            return 0;
-        };
-        let (client, text) = (self.client, messages::text(body).unwrap_or_default());
-        let mut said = Vec::new();
+    /// Gives a query its place in the row, and with it the answer of one that needs no member.
+    fn query(&mut self, text: &str, at: Point, out: &mut Outbox<Heard>) {
         if text.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() {
             // No news: a client that sends nothing else would fill the owner's queue.
+            let mut said = Vec::new();
             messages::put(&mut said, b'I', &[]);
+            messages::put_ready(&mut said);
+            self.row.push_back(Some(said));
         } else if let Some(text) = Text::new(text, &self.room) {
-            let number = self.first.wrapping_add(self.row.len() as u32);
+            let (client, number) = (self.client, self.first.wrapping_add(self.row.len() as u32));
             self.row.push_back(None);
             out.notices.push(Heard::Statement {
                 client,
@@ -221,30 +261,15 @@
                 text,
                 at,
             });
-            return whole;
         } else {
             out.notices.push(Heard::NoRoom);
-            let why = "no memory is left for the statement";
-            messages::put_error(&mut said, "ERROR", "53300", why, None);
+            self.row.push_back(Some(Final::from(NO_ROOM).into_bytes()));
         }
-        messages::put_ready(&mut said);
-        if self.row.is_empty() {
-            out.bytes.append(&mut said);
-        } else {
-            self.row.push_back(Some(said));
-        }
-        whole
+        self.flush(out);
     }
 
-    /// Gives a statement its answer, and writes what none before it keeps back any more.
-    fn answer(&mut self, number: u32, answer: Vec<u8>, at: Point, out: &mut Outbox<Heard>) {
-        let place = number.wrapping_sub(self.first) as usize;
-        // An answer to a statement that has its own would be a second one, and is left out.
-        let open = self.row.get_mut(place).filter(|a| a.is_none());
-        let Some(open) = open.filter(|_| self.state == State::Open) else {
-            return;
-        };
-        *open = Some(answer);
+    /// Writes the answers that none before them keeps back.
+    fn flush(&mut self, out: &mut Outbox<Heard>) {
         while let Some(answer) = self.row.front_mut().and_then(Option::take) {
             self.row.pop_front();
             self.first = self.first.wrapping_add(1);
@@ -255,6 +280,17 @@
                 out.bytes.extend(answer);
             }
         }
+    }
+
+    fn answer(&mut self, number: u32, answer: Final, at: Point, out: &mut Outbox<Heard>) {
+        let place = number.wrapping_sub(self.first) as usize;
+        // An answer to a statement that has its own would be a second one, and is left out.
+        let open = self.row.get_mut(place).filter(|a| a.is_none());
+        let Some(open) = open.filter(|_| self.state == State::Open) else {
+            return;
+        };
+        *open = Some(answer.into_bytes());
+        self.flush(out);
         // Whether it ends now is for `heard` to say, which follows: a statement may lie here already.
         if self.row.is_empty() {
             self.rest(at, out);
@@ -269,8 +305,7 @@
 }
 
 impl Dialogue for Session {
-    /// With the number of the statement that is answered.
-    type Command = (u32, Say);
+    type Command = Say;
     type Notice = Heard;
 
     fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Heard>) {
@@ -291,45 +326,30 @@
             }
         }
         input.drain(..used);
-        let unread = self.skip > 0 || !input.is_empty();
-        let begun = self.state == State::Open && self.row.is_empty() && unread;
+        let waits = self.state == State::Open && self.row.is_empty();
+        let begun = waits && (self.skip > 0 || !input.is_empty());
         let (client, since) = (self.client, at);
         if begun && !self.begun {
             out.notices.push(Heard::Writing { client, since });
-        } else if self.begun && !begun && self.state == State::Open && self.row.is_empty() {
+        } else if waits && self.begun && !begun {
             out.notices.push(Heard::Idle { client, since });
         }
         self.begun = begun;
         self.end_if_leaving(out);
     }
 
-    fn told(&mut self, (number, say): (u32, Say), at: Point, out: &mut Outbox<Heard>) {
+    fn told(&mut self, say: Say, at: Point, out: &mut Outbox<Heard>) {
         match say {
-            Say::Rows(mut bytes) => {
-                messages::put_ready(&mut bytes);
-                self.answer(number, bytes, at, out);
-            }
-            Say::Error {
-                code,
-                message,
-                hold_off_ms,
-            } => {
-                let mut bytes = Vec::new();
-                messages::put_error(&mut bytes, "ERROR", code, message, hold_off_ms);
-                messages::put_ready(&mut bytes);
-                self.answer(number, bytes, at, out);
-            }
+            Say::Answer(number, answer) => self.answer(number, answer, at, out),
             Say::Leave => {
                 self.leaving = true;
                 self.end_if_leaving(out);
             }
-            Say::TurnAway if self.state == State::Over => {}
+            Say::TimeUp | Say::TurnAway if self.state == State::Over => {}
+            Say::TimeUp if !self.row.is_empty() => {}
             // Another answer than none would be taken for that of a statement which is on its way.
-            Say::TimeUp if !self.row.is_empty() || self.state == State::Over => {}
             Say::TimeUp if self.state == State::Open && !self.begun => self.close(out),
-            Say::TimeUp => {
-                self.malformed("the message was not ended in time", out);
-            }
+            Say::TimeUp => self.malformed("the message was not ended in time", out),
             Say::TurnAway => self.fatal("53300", "too many connections", out),
         }
     }
@@ -343,8 +363,8 @@
         out.notices.push(Heard::Gone { client: self.client });
     }
 
-    /// While a statement is out only the client's leaving is of interest: what it sends ahead stays with the
-    /// kernel, not in this process.
+    /// While statements are open no more than a row of them is read ahead: the rest stays with the kernel, not in
+    /// this process.
     fn hungry(&self, unused: usize) -> bool {
         match self.state {
             State::Over => false,
--- a/crates/driver/src/routing/clients.rs
+++ b/crates/driver/src/routing/clients.rs
@@ -10,13 +10,11 @@
 const ARRIVING: Span = Span::millis(2500);
 /// From the first byte of a message to its last.
 const MESSAGE: Span = Span::millis(2500);
-/// Between two statements, by the part of all places that those who have asked hold. Clients that ask once and stay
-/// would else keep those out that are still to ask: they may hold a part of the descriptors only, and wait for it.
-const RESTING: [(f64, Span); 3] = [
-    (0.4, Span::millis(100)),
-    (0.25, Span::millis(2200)),
-    (0.0, Span::millis(10_000)),
-];
+/// Between two statements; less from these parts on of all places that those who have asked hold. Clients that ask
+/// once and stay would else keep those out that are still to ask: they may hold a part of the descriptors only, and
+/// wait for it.
+const RESTING: Span = Span::millis(10_000);
+const RESTING_AMONG: [(f64, Span); 2] = [(0.4, Span::millis(100)), (0.25, Span::millis(2200))];
 /// Who came within this may have sent its first statement already.
 const JUST_CAME: Span = Span::millis(300);
 
@@ -29,9 +27,10 @@
     Writing,
     Resting,
 }
+const PAUSES: [Pause; 3] = [Pause::Arriving, Pause::Writing, Pause::Resting];
 
 struct Client {
-    line: Line<(u32, Say)>,
+    line: Line<Say>,
     /// Its open statements.
     stmts: Vec<u32>,
     pause: Option<(Pause, Point)>,
@@ -43,7 +42,7 @@
 pub struct Clients {
     open: BTreeMap<u32, Client>,
     /// Those in each kind of pause, by its start.
-    pauses: [BTreeSet<(Point, u32)>; 3],
+    pauses: [BTreeSet<(Point, u32)>; PAUSES.len()],
     /// How many of all have asked for something.
     asked: usize,
     most: usize,
@@ -80,16 +79,16 @@
 
     /// Takes in a client that the kernel has accepted. Where all are busy beyond the bound it is turned away
     /// before it can send anything: that word could come for a statement that runs already.
-    pub fn arrive(&mut self, now: Point, id: u32, line: Line<(u32, Say)>) -> Room {
+    pub fn arrive(&mut self, now: Point, id: u32, line: Line<Say>) -> Room {
         if self.leaving {
-            line.tell((0, Say::Leave));
+            line.tell(Say::Leave);
         }
         let room = if self.open.len() < self.most {
             Room::Free
         } else if self.free_one(now) {
             Room::Made
         } else {
-            line.tell((0, Say::TurnAway));
+            line.tell(Say::TurnAway);
             Room::None
         };
         let client = Client {
@@ -144,36 +143,33 @@
             Pause::Writing => MESSAGE,
             Pause::Resting => {
                 let part = self.asked as f64 / self.most as f64;
-                let found = RESTING.iter().find(|(from, _)| part >= *from);
-                found.map_or(MESSAGE, |(_, limit)| *limit)
+                let found = RESTING_AMONG.iter().find(|(from, _)| part >= *from);
+                found.map_or(RESTING, |(_, limit)| *limit)
             }
         }
     }
 
     pub fn next_at(&self) -> Option<Point> {
-        let ends =
-            [Pause::Arriving, Pause::Writing, Pause::Resting].map(|p| Some(self.first(p)?.0 + self.limit(p)));
-        ends.into_iter().flatten().min()
+        let end = |pause| Some(self.first(pause)?.0 + self.limit(pause));
+        PAUSES.into_iter().filter_map(end).min()
     }
 
     /// Lets those go whose pause has lasted too long; how many were too slow, and how many had only rested.
     pub fn end_pauses(&mut self, now: Point) -> (u64, u64) {
-        let mut ended = [0, 0, 0];
-        for pause in [Pause::Arriving, Pause::Writing, Pause::Resting] {
-            while let Some((_, id)) = self
-                .first(pause)
-                .filter(|(since, _)| now - *since >= self.limit(pause))
-            {
-                let say = if pause == Pause::Resting {
-                    Say::Leave
+        let (mut slow, mut rested) = (0, 0);
+        for pause in PAUSES {
+            let over = |c: &Clients| c.first(pause).filter(|(since, _)| now - *since >= c.limit(pause));
+            while let Some((_, id)) = over(self) {
+                if pause == Pause::Resting {
+                    rested += 1;
+                    self.tell_off(id, Say::Leave);
                 } else {
-                    Say::TimeUp
-                };
-                self.tell_off(id, say);
-                ended[pause as usize] += 1;
+                    slow += 1;
+                    self.tell_off(id, Say::TimeUp);
+                }
             }
         }
-        (ended[0] + ended[1], ended[2])
+        (slow, rested)
     }
 
     /// It waits for nothing since then; one that has asked for nothing yet is no further by that.
@@ -228,19 +224,14 @@
     }
 
     pub fn say(&self, id: u32, say: Say) {
-        self.answer(id, 0, say);
-    }
-
-    /// Answers the statement with this number on its client's connection.
-    pub fn answer(&self, id: u32, number: u32, say: Say) {
         if let Some(client) = self.open.get(&id) {
-            client.line.tell((number, say));
+            client.line.tell(say);
         }
     }
 
     /// Lets each go between two statements, those to come included.
     pub fn send_away(&mut self) {
         self.leaving = true;
-        self.open.values().for_each(|c| c.line.tell((0, Say::Leave)));
+        self.open.values().for_each(|c| c.line.tell(Say::Leave));
     }
 }
--- a/crates/driver/src/routing/endings.rs
+++ b/crates/driver/src/routing/endings.rs
@@ -2,7 +2,7 @@
 
 use super::figures::Figures;
 use crate::protocol::execution::Reply;
-use crate::protocol::session::Say;
+use crate::protocol::session::Final;
 use asterlatch::interface::{Answer, Ending};
 use asterlatch::time::Span;
 
@@ -42,29 +42,22 @@
     } += 1;
 }
 
-pub fn rejected(hold_off: Span) -> Say {
-    Say::Error {
-        code: "53300",
-        message: "not executed, or harmless to execute again",
-        hold_off_ms: Some(hold_off.0 / 1000).filter(|ms| *ms > 0),
-    }
-}
-
 /// The statement and what its client is told.
-pub fn of_answer(answer: &Answer) -> (u32, Say) {
-    match *answer {
-        Answer::Rejected { stmt, hold_off } => (stmt, rejected(hold_off)),
-        Answer::Aborted { stmt } => {
-            let (code, message) = ("40003", "the statement may have been executed");
-            let hold_off_ms = None;
-            (
-                stmt,
-                Say::Error {
-                    code,
-                    message,
-                    hold_off_ms,
-                },
-            )
-        }
-    }
+pub fn of_answer(answer: &Answer) -> (u32, Final) {
+    let (stmt, code, message, hold_off) = match *answer {
+        Answer::Rejected { stmt, hold_off } => (
+            stmt,
+            "53300",
+            "not executed, or harmless to execute again",
+            hold_off,
+        ),
+        Answer::Aborted { stmt } => (stmt, "40003", "the statement may have been executed", Span(0)),
+    };
+    let hold_off_ms = Some(hold_off.0 / 1000).filter(|ms| *ms > 0);
+    let told = Final::Error {
+        code,
+        message,
+        hold_off_ms,
+    };
+    (stmt, told)
 }
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -10,7 +10,7 @@
 use super::tables::{session, Members, Names};
 use crate::protocol::comment::{self, Marked, Unreadable};
 use crate::protocol::roster::Roster;
-use crate::protocol::session::{Say, Text};
+use crate::protocol::session::{Final, Say, Text};
 use crate::protocol::{execution, messages, session as client, vitals, watch};
 use crate::transport::clock::Clock;
 use crate::transport::listener::{Arrival, Listening};
@@ -57,10 +57,14 @@
 }
 
 impl Given {
-    /// Room for what clients and members send.
+    /// How much memory what clients and members send may fill.
+    fn bytes(&self) -> (usize, usize) {
+        (self.memory / CLIENTS_MEMORY, self.memory / MEMBERS_MEMORY)
+    }
+
     pub fn rooms(&self) -> (Memory, Memory) {
-        let room = |part| Memory::new(self.memory / part);
-        (room(CLIENTS_MEMORY), room(MEMBERS_MEMORY))
+        let (clients, members) = self.bytes();
+        (Memory::new(clients), Memory::new(members))
     }
 
     /// How many connections clients and members may have.
@@ -226,8 +230,9 @@
         let (clients, members) = given.connections();
         self.clients.bound(clients);
         self.errands.bound(members);
-        self.memory.0.bound(given.memory / CLIENTS_MEMORY);
-        self.memory.1.bound(given.memory / MEMBERS_MEMORY);
+        let (of_clients, of_members) = given.bytes();
+        self.memory.0.bound(of_clients);
+        self.memory.1.bound(of_members);
         self.calls.move_to(now, given.discovery);
     }
 
@@ -259,7 +264,7 @@
         self.clients.send_away();
     }
 
-    fn arrived(&mut self, now: Point, arrival: Arrival<(u32, Say)>) {
+    fn arrived(&mut self, now: Point, arrival: Arrival<Say>) {
         match arrival {
             Arrival::Client(id, line) => {
                 self.figures.clients_accepted += 1;
@@ -318,17 +323,11 @@
         let marked = comment::read(&text.text);
         let (workload, marked) = match marked.and_then(|m| Ok((self.routable(&m)?, m))) {
             Ok(marked) => marked,
-            Err(Unreadable { code, message }) => {
+            Err(fault) => {
                 self.figures.statements_unreadable += 1;
-                let text = format_args!("not routed: {message}");
+                let text = format_args!("not routed: {}", fault.message);
                 self.observer.say(now, "statement", text);
-                let hold_off_ms = None;
-                let say = Say::Error {
-                    code,
-                    message,
-                    hold_off_ms,
-                };
-                return self.clients.answer(client, number, say);
+                return self.clients.say(client, Say::Answer(number, fault.into()));
             }
         };
         self.figures.statements_taken += 1;
@@ -364,13 +363,13 @@
     }
 
     /// Gives a statement its one final answer; a later one finds it gone.
-    fn answer(&mut self, stmt: u32, say: Say) -> bool {
+    fn answer(&mut self, stmt: u32, answer: Final) -> bool {
         let Some((client, number)) = self.statements.release(stmt) else {
             self.figures.late_answers_dropped += 1;
             return false;
         };
         self.clients.has_answer(client, stmt);
-        self.clients.answer(client, number, say);
+        self.clients.say(client, Say::Answer(number, answer));
         true
     }
 
@@ -390,8 +389,8 @@
             }
         }
         for answer in &results.answers {
-            let (stmt, say) = endings::of_answer(answer);
-            let answered = u64::from(self.answer(stmt, say));
+            let (stmt, told) = endings::of_answer(answer);
+            let answered = u64::from(self.answer(stmt, told));
             match answer {
                 Answer::Rejected { .. } => self.figures.rejected += answered,
                 Answer::Aborted { .. } => self.figures.aborted += answered,
@@ -491,7 +490,7 @@
                 match (reply, errand.kind) {
                     // The first whole answer goes to the client as the bytes that came.
                     (execution::Reply::Rows(rows), Kind::Execution { stmt, .. }) => {
-                        let answered = self.answer(stmt, Say::Rows(rows));
+                        let answered = self.answer(stmt, Final::Rows(rows));
                         self.figures.completed += u64::from(answered);
                     }
                     (execution::Reply::Malformed, _) => {
--- a/crates/driver/src/routing/queue.rs
+++ b/crates/driver/src/routing/queue.rs
@@ -13,7 +13,7 @@
 }
 
 pub enum Input {
-    Arrival(Arrival<(u32, session::Say)>),
+    Arrival(Arrival<session::Say>),
     Client(session::Heard),
     Member(execution::Heard),
     /// News of the call with this number.
@@ -31,7 +31,7 @@
     };
 }
 taken_in! {
-    Arrival<(u32, session::Say)> => Arrival,
+    Arrival<session::Say> => Arrival,
     session::Heard => Client,
     execution::Heard => Member,
 }
--- a/crates/driver/src/transport/room.rs
+++ b/crates/driver/src/transport/room.rs
@@ -52,34 +52,26 @@
 impl Taken {
     /// Makes the part this large. What is too much is not taken; less is always possible.
     pub fn resize(&mut self, bytes: usize) -> bool {
-        let more = bytes.saturating_sub(self.bytes);
-        let shared = &self.room.0;
-        if more > 0 {
-            let before = shared.taken.fetch_add(more, Ordering::Relaxed);
-            if before + more > shared.most.load(Ordering::Relaxed) {
-                shared.taken.fetch_sub(more, Ordering::Relaxed);
-                return false;
-            }
-        } else {
-            shared.taken.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+        let before = self.bytes;
+        self.hold(bytes);
+        let fits = bytes <= before || self.room.taken() <= self.room.most();
+        if !fits {
+            self.hold(before);
         }
-        self.bytes = bytes;
-        true
+        fits
     }
-}
 
-impl Taken {
     /// Makes the part this large, also beyond what there may be: others find less then.
     pub fn hold(&mut self, bytes: usize) {
-        let shared = &self.room.0;
-        shared.taken.fetch_add(bytes, Ordering::Relaxed);
-        shared.taken.fetch_sub(self.bytes, Ordering::Relaxed);
+        let taken = &self.room.0.taken;
+        taken.fetch_add(bytes, Ordering::Relaxed);
+        taken.fetch_sub(self.bytes, Ordering::Relaxed);
         self.bytes = bytes;
     }
 }
 
 impl Drop for Taken {
     fn drop(&mut self) {
-        self.resize(0);
+        self.hold(0);
     }
 }
--- a/crates/driver/tests/protocol.rs
+++ b/crates/driver/tests/protocol.rs
@@ -7,13 +7,13 @@
 use asterlatch_driver::protocol::http::{self, Answer};
 use asterlatch_driver::protocol::messages::{self, Front};
 use asterlatch_driver::protocol::roster::{self, Status};
-use asterlatch_driver::protocol::session::{self, Say, Session};
+use asterlatch_driver::protocol::session::{self, Final, Say, Session};
 use asterlatch_driver::protocol::{vitals, watch};
 use asterlatch_driver::transport::room::Room;
 use asterlatch_driver::transport::stream::{Dialogue, Outbox};
 
 /// The longest messages and values that any driver takes.
-const QUERY: usize = messages::bound(0);
+const QUERY: usize = 135_168;
 const VALUE: usize = 64 * 1024;
 
 const AT: Point = Point(1_000_000);
@@ -76,7 +76,7 @@
         hear(&mut session, &bytes, bytes.len().max(1), &mut out);
         assert_eq!(client_news(&out.notices), news, "{name}");
         out.bytes.clear();
-        session.told((0, Say::TimeUp), AT, &mut out);
+        session.told(Say::TimeUp, AT, &mut out);
         match said {
             "out" => assert!(out.bytes.is_empty() && !out.close, "{name}"),
             _ => assert_eq!((&spoken(&out.bytes)[..], out.close), (said, true), "{name}"),
@@ -89,23 +89,23 @@
         after(&half(&query("SELECT 1"))),
     );
     session.heard(&mut input, AT, &mut out);
-    session.told((0, Say::Leave), AT, &mut out);
+    session.told(Say::Leave, AT, &mut out);
     session.heard(&mut input, AT, &mut out);
     assert!(!out.close);
     input.extend(&query("SELECT 1")[query("SELECT 1").len() / 2..]);
     session.heard(&mut input, AT, &mut out);
     assert_eq!(client_news(&out.notices), "idle writing stmt(SELECT 1)");
-    session.told((0, Say::Rows(Vec::new())), AT, &mut out);
+    session.told(Say::Answer(0, Final::Rows(Vec::new())), AT, &mut out);
     session.heard(&mut input, AT, &mut out);
     assert!(out.close);
     // Told to leave with statements behind the one that is out: they have come, so all are answered.
     let (mut session, mut out) = (Session::new(1, Room::new(1 << 20)), Outbox::default());
     input.extend(after(&[query("a"), query("b"), query("c")].concat()));
     session.heard(&mut input, AT, &mut out);
-    session.told((0, Say::Leave), AT, &mut out);
+    session.told(Say::Leave, AT, &mut out);
     for n in 0..3 {
         assert!(!out.close, "{n}");
-        session.told((n, Say::Rows(Vec::new())), AT, &mut out);
+        session.told(Say::Answer(n, Final::Rows(Vec::new())), AT, &mut out);
         session.heard(&mut input, AT, &mut out);
     }
     assert!(out.close);
@@ -227,31 +227,31 @@
     input.extend([greeted(), query("a"), query("b"), query("c")].concat());
     session.heard(&mut input, AT, &mut out);
     out.bytes.clear();
-    let hold = Say::Error {
+    let hold = Final::Error {
         code: "53300",
         message: "m",
         hold_off_ms: Some(250),
     };
-    let fail = Say::Error {
+    let fail = Final::Error {
         code: "40003",
         message: "m",
         hold_off_ms: None,
     };
     let rows = [message(b'T', b"t"), message(b'D', b"d"), message(b'C', b"c")].concat();
-    // The number of the statement, what is said to it, what goes out, and whether the connection ends.
+    // What is said, what goes out, and whether the connection ends.
     let steps = [
-        (2, fail, "", false),
-        (0, Say::Rows(rows.clone()), "T D C Z", false),
-        (0, Say::Rows(rows.clone()), "", false),
-        (0, Say::Leave, "", false),
-        (2, Say::Rows(rows.clone()), "", false),
-        (1, hold, "E53300250 Z E40003 Z", true),
+        (Say::Answer(2, fail), "", false),
+        (Say::Answer(0, Final::Rows(rows.clone())), "T D C Z", false),
+        (Say::Answer(0, Final::Rows(rows.clone())), "", false),
+        (Say::Leave, "", false),
+        (Say::Answer(2, Final::Rows(rows.clone())), "", false),
+        (Say::Answer(1, hold), "E53300250 Z E40003 Z", true),
         // Whatever else comes after the end.
-        (1, Say::Rows(rows.clone()), "", true),
-        (0, Say::TurnAway, "", true),
+        (Say::Answer(1, Final::Rows(rows.clone())), "", true),
+        (Say::TurnAway, "", true),
     ];
-    for (n, (number, say, said, close)) in steps.into_iter().enumerate() {
-        session.told((number, say), AT, &mut out);
+    for (n, (say, said, close)) in steps.into_iter().enumerate() {
+        session.told(say, AT, &mut out);
         session.heard(&mut input, AT, &mut out);
         if n == 1 {
             assert!(
@@ -279,13 +279,13 @@
         .count();
     assert!(open < 20 && !session.hungry(20_000), "{open}");
     out.bytes.clear();
-    session.told((2, Say::Rows(Vec::new())), AT, &mut out);
+    session.told(Say::Answer(2, Final::Rows(Vec::new())), AT, &mut out);
     assert!(out.bytes.is_empty(), "those before it have no answer");
-    session.told((0, Say::Rows(Vec::new())), AT, &mut out);
+    session.told(Say::Answer(0, Final::Rows(Vec::new())), AT, &mut out);
     assert_eq!(spoken(&out.bytes), "Z I Z Z");
     for number in (1..600).filter(|n| *n != 2) {
         session.heard(&mut input, AT, &mut out);
-        session.told((number, Say::Rows(Vec::new())), AT, &mut out);
+        session.told(Say::Answer(number, Final::Rows(Vec::new())), AT, &mut out);
     }
     assert_eq!(spoken(&out.bytes).matches('Z').count(), 302);
 }
@@ -300,7 +300,7 @@
         let (mut session, mut out) = (session(1 << 20), Outbox::default());
         hear(&mut session, &before, 1000, &mut out);
         out.bytes.clear();
-        session.told((0, say), AT, &mut out);
+        session.told(say, AT, &mut out);
         assert_eq!((&spoken(&out.bytes)[..], out.close), (said, true));
         assert!(!session.hungry(0));
     }
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -5,7 +5,7 @@
 use asterlatch_driver::protocol::execution::{Heard as Member, Reply, Run};
 use asterlatch_driver::protocol::messages;
 use asterlatch_driver::protocol::roster::{Entry, Roster, Status};
-use asterlatch_driver::protocol::session::{Heard as Client, Say, Text};
+use asterlatch_driver::protocol::session::{Final, Heard as Client, Say, Text};
 use asterlatch_driver::protocol::watch::{Heard as Discovery, News};
 use asterlatch_driver::routing::calls::Call;
 use asterlatch_driver::routing::owner::{Given, Observer, Owner, Place};
@@ -48,7 +48,7 @@
     now: Point,
     dialled: Dialled,
     called: Called,
-    clients: BTreeMap<u32, Receiver<(u32, Say)>>,
+    clients: BTreeMap<u32, Receiver<Say>>,
     asked: u32,
     /// For what clients send.
     room: Room,
@@ -155,6 +155,12 @@
         self.owner.reach(self.now);
     }
 
+    /// A change of the list.
+    fn changed(&mut self, entry: Entry) {
+        let (whole, change) = (false, list(2, vec![entry]));
+        self.owner.learn_roster(self.now, &Roster { whole, ..change });
+    }
+
     fn heard(&mut self, heard: Member) {
         self.owner.take(self.now, Input::Member(heard));
     }
@@ -201,11 +207,14 @@
 
     /// What the client was told, in short.
     fn told(&self, client: u32) -> String {
-        let words = self.clients[&client].try_iter().map(|(_, say)| match say {
-            Say::Rows(rows) => format!("rows({})", String::from_utf8_lossy(&rows)),
-            Say::Error {
-                code, hold_off_ms, ..
-            } => format!(
+        let words = self.clients[&client].try_iter().map(|say| match say {
+            Say::Answer(_, Final::Rows(rows)) => format!("rows({})", String::from_utf8_lossy(&rows)),
+            Say::Answer(
+                _,
+                Final::Error {
+                    code, hold_off_ms, ..
+                },
+            ) => format!(
                 "{code}{}",
                 hold_off_ms.map_or(String::new(), |ms| format!("+{ms}"))
             ),
@@ -432,14 +441,7 @@
     // An entry of one that is gone, with little more than its name, makes no group known.
     let mut gone = entry("gone", Status::Deleted, false);
     (gone.group, gone.address) = (0, String::new());
-    let change = list(2, vec![gone]);
-    s.owner.learn_roster(
-        s.now,
-        &Roster {
-            whole: false,
-            ..change
-        },
-    );
+    s.changed(gone);
     s.asks(1, "c=view,d=900,cluster=0");
     assert_eq!((s.told(1).as_str(), s.sent()), ("22023", None));
     let (client, number, at) = (1, 0, s.now);
@@ -521,13 +523,7 @@
     s.reply(connection, rows("v"), Some(true));
     let mut moved = entry("p", Status::Serving, true);
     moved.address = "10.0.0.9:5432".to_owned();
-    s.owner.learn_roster(
-        s.now,
-        &Roster {
-            whole: false,
-            ..list(2, vec![moved])
-        },
-    );
+    s.changed(moved);
     s.asks(1, POST);
     assert_eq!(s.sent().map(|(_, at)| at), Some("10.0.0.9:5432".to_owned()));
 }
@@ -575,13 +571,7 @@
     // An entry that can't be reached is left out; an empty change changes nothing.
     let mut lost = entry("lost", Status::Serving, false);
     lost.address = "nowhere".to_owned();
-    s.owner.learn_roster(
-        s.now,
-        &Roster {
-            whole: false,
-            ..list(3, vec![lost])
-        },
-    );
+    s.changed(lost);
     assert_eq!(s.owner.figures.roster_entries_left_out, 1);
 }
 
@@ -590,11 +580,6 @@
 #[test]
 fn a_long_day_of_new_members_leaves_nothing_behind() {
     let mut s = stage();
-    let change = |s: &mut Stage, entry: Entry| {
-        let change = list(2, vec![entry]);
-        let whole = false;
-        s.owner.learn_roster(s.now, &Roster { whole, ..change });
-    };
     let (mut old, mut used) = ("rr".to_owned(), Vec::new());
     for n in 0..500 {
         let name = format!("r{n}");
@@ -605,8 +590,8 @@
                 ..entry(name, status, false)
             }
         };
-        change(&mut s, at(&name, Status::Serving));
-        change(&mut s, entry(&old, Status::Draining, false));
+        s.changed(at(&name, Status::Serving));
+        s.changed(entry(&old, Status::Draining, false));
         s.pass(300);
         while let Some((connection, _)) = s.sent() {
             s.reply(connection, rows("v"), Some(false));
@@ -616,7 +601,7 @@
         s.heard(Member::Up { connection });
         s.reply(connection, rows("v"), Some(false));
         used.push(connection);
-        change(&mut s, entry(&old, Status::Deleted, false));
+        s.changed(entry(&old, Status::Deleted, false));
         s.pass(50);
         old = name;
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -203,11 +203,11 @@
             if ok {
                 f.owes_since[m] = now;
                 // It lives: what it owed all the while is lost on its way or stuck, and keeps no room from others.
-                let (runs, lives) = (self.running.values_mut(), std::mem::take(&mut f.shunned[m]));
-                let lost = runs
-                    .map(|r| usize::from(lives && r.lose(m, before)))
-                    .sum::<usize>();
-                (f.open[m], f.connections[m]) = (f.open[m] - lost, f.connections[m].saturating_sub(lost));
+                if std::mem::take(&mut f.shunned[m]) {
+                    let runs = self.running.values_mut();
+                    let lost = runs.fold(0, |n, r| n + usize::from(r.lose(m, before)));
+                    (f.open[m], f.connections[m]) = (f.open[m] - lost, f.connections[m].saturating_sub(lost));
+                }
                 self.learn_sighting(m, took, s);
             }
         }
@@ -222,8 +222,8 @@
         entries.iter().for_each(|e| self.learn_entry(e));
         let owing = self.running.values().map(|r| r.member);
         let meant: BTreeSet<_> = self.stmts.values().flat_map(Stmt::members).chain(owing).collect();
-        let all: Vec<_> = self.members.index.values().copied().collect();
-        let (up, down): (Vec<_>, Vec<_>) = all.into_iter().partition(|m| self.may_send(*m));
+        let all = self.members.index.values().copied();
+        let (up, down): (Vec<_>, Vec<_>) = all.partition(|m| self.may_send(*m));
         self.warm_size = up.iter().map(|m| self.members.size[*m] * self.warmth(*m)).sum();
         for m in down {
             let g = &mut self.groups[self.members.group[m]];
@@ -363,8 +363,8 @@
             let pulled = |n: &&usize| **n == m || follow && g.primary != Some(**n);
             for &n in g.members.iter().filter(pulled) {
                 let pull = PULL * (AIMED - share) * if n == m { 1.0 } else { ALIKE };
-                f.let_in[n] =
-                    (f.let_in[n] * pull.exp()).clamp(LEAST_SHARE, if sparse { 1.0 } else { CREDIT });
+                let most = if sparse { 1.0 } else { CREDIT };
+                f.let_in[n] = (f.let_in[n] * pull.exp()).clamp(LEAST_SHARE, most);
             }
         }
         let used = (f.open[m] + 1) as f64 >= f.limit[m] / 2.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -230,10 +230,11 @@
                     return (m, true);
                 }
                 let m = self.free.pop().unwrap_or(self.id.len());
-                if m == self.id.len() {
+                if m < self.id.len() {
+                    $(self.$column[m] = $first;)*
+                } else {
                     $(self.$column.push($first);)*
                 }
-                $(self.$column[m] = $first;)*
                 self.id[m] = id;
                 self.index.insert(id, m);
                 (m, false)
