Operators' file: language, checker, formatter, diff, generations, and the service under it

Operators could set nothing but the platform's JSON; every other figure was a constant of the host. A small language with units now states them: crates/config holds lexer, parser, evaluation, schema registry, checks across settings, formatter, diff in meaning, and, without I/O, generations, probation and the shelf of former generations. The host's constants stand in routing::limits with today's values as defaults; SIGHUP reads the file on a thread of its own.

--- /dev/null
+++ b/crates/config/src/host.rs
@@ -0,0 +1,318 @@
+//! What the service lets its operators set, and which settings don't go together. The defaults are its own figures:
+//! a test of the service holds the two against each other.
+
+use crate::meaning::Meaning;
+use crate::registry::{Check, Conflict, Machine, Path, Registry, Row, Rule, Section, Takes, Want};
+use crate::unit::{Quantity, Unit};
+
+/// The machine that is reckoned with where none is named: the defaults of the platform's configuration.
+pub const MACHINE: Machine = Machine {
+    memory: 192 * 1024 * 1024,
+    descriptors: 1024,
+};
+
+/// Room that one statement and its answer need at least, in bytes: a value of 64 KB as hexadecimal text, and a
+/// comment.
+pub const LEAST_ROOM: i64 = 2 * 64 * 1024 + 4096;
+/// Connections that members need at least: one to each of a small group's.
+pub const LEAST_FOR_MEMBERS: i64 = 4;
+/// Part of the memory that is neither clients' nor members': the program, its stacks and tables, in millionths.
+const OWN_MEMORY: i64 = 250_000;
+
+macro_rules! rows {
+    ($($name:literal: $low:literal to $high:literal = $default:literal, $takes:ident, $bears:expr, [$($want:ident),*],
+       $says:literal;)*) => {
+        &[$(Row {
+            name: $name,
+            default: $default,
+            range: ($low, $high),
+            takes: Takes::$takes,
+            bears_on: $bears,
+            may_want: &[$(Want::$want),*],
+            says: $says,
+        }),*]
+    };
+}
+
+const NONE: Option<Rule> = None;
+const BOUNDS: Option<Rule> = Some(Rule::Bounds);
+const ANSWER: Option<Rule> = Some(Rule::OneAnswer);
+const DRAINS: Option<Rule> = Some(Rule::DrainsKept);
+
+#[rustfmt::skip]
+pub const SECTIONS: [Section; 11] = [
+    Section { name: "descriptors", key: None, says: "How the descriptors of the process are shared out.", rows: rows! {
+        "reserve": "8" to "65536" = "48", Live, BOUNDS, [Places, Descriptors],
+            "kept for what is neither a client's nor a member's";
+        "clients": "5%" to "95%" = "66.6667%", Live, BOUNDS, [Places, Descriptors],
+            "of the others, those for clients; the rest is for members";
+    } },
+    Section { name: "memory", key: None, says: "How much of the process's memory others may fill.", rows: rows! {
+        "clients": "1%" to "90%" = "25%", Live, BOUNDS, [Memory],
+            "for what clients sent and what they leave unread";
+        "members": "1%" to "90%" = "25%", Live, BOUNDS, [Memory],
+            "for answers of members that are not whole yet";
+    } },
+    Section { name: "clients", key: None, says: "How long clients may take, and rest.", rows: rows! {
+        "first_statement": "50ms" to "10min" = "2500ms", Live, BOUNDS, [Places],
+            "from a client's arrival to the end of its first statement";
+        "message": "50ms" to "10min" = "2500ms", Live, BOUNDS, [Places],
+            "from the first byte of any other message to its last";
+        "rest": "50ms" to "1d" = "10s", Live, BOUNDS, [Places],
+            "between two statements";
+        "filling_from": "1%" to "100%" = "25%", Live, BOUNDS, [Places],
+            "from this part of all places on that those hold who have asked, `filling_rest` counts";
+        "filling_rest": "50ms" to "1d" = "2200ms", Live, BOUNDS, [Places],
+            "between two statements, while places fill";
+        "crowded_from": "1%" to "100%" = "40%", Live, BOUNDS, [Places],
+            "from this part on, `crowded_rest` counts";
+        "crowded_rest": "20ms" to "1d" = "100ms", Live, BOUNDS, [Places],
+            "between two statements, in a crowd";
+        "just_came": "0s" to "10s" = "300ms", Live, BOUNDS, [Places],
+            "who came within this is let go last: a first statement may be on its way";
+        "accept_again": "1ms" to "10s" = "50ms", Live, NONE, [Places],
+            "a failed accept is tried again after this";
+    } },
+    Section { name: "statements", key: None, says: "What holds for every statement.", rows: rows! {
+        "longest_timeout": "10ms" to "1d" = "1d", Live, ANSWER, [],
+            "a client's own statement timeout counts for no more than this";
+    } },
+    Section { name: "workload", key: Some("name"), says: "What holds for the statements of one workload. Names are \
+compared as the settings of the deployment spell them; one that the deployment doesn't know changes nothing.", rows: rows! {
+        "timeout": "10ms" to "1d" = "", Live, ANSWER, [],
+            "a client's own statement timeout counts for no more than this; it is never made longer";
+        "longest": "256B" to "16MiB" = "", Live, BOUNDS, [],
+            "a longer statement is answered with 54000";
+    } },
+    Section { name: "phases", key: None, says: "How the process leaves.", rows: rows! {
+        "arrivals": "0s" to "1min" = "450ms", Live, DRAINS, [],
+            "clients still arrive for this long once it was told to leave";
+        "linger": "10ms" to "1min" = "1s", Live, ANSWER, [],
+            "a client that doesn't read its answer is waited for this long";
+        "longest_drain": "1s" to "2d" = "25h", Live, ANSWER, [],
+            "it ends after this, even with statements open";
+    } },
+    Section { name: "members", key: None, says: "Connections to members.", rows: rows! {
+        "idle": "1%" to "100%" = "85%", Live, NONE, [],
+            "an idle connection is used up to this part of the deployment's idle time";
+    } },
+    Section { name: "discovery", key: None, says: "Calls to discovery.", rows: rows! {
+        "watch": "100ms" to "10min" = "2s", Live, DRAINS, [],
+            "how long a watch may wait for news";
+        "watch_late": "50ms" to "1min" = "1s", Live, DRAINS, [],
+            "how much longer its answer may take before the connection is left";
+        "list_late": "50ms" to "1min" = "1s", Live, DRAINS, [],
+            "how long a list may take that is asked for without waiting";
+        "first_pause": "10ms" to "1min" = "100ms", Live, NONE, [],
+            "after the first failed call; each further one doubles it";
+        "longest_pause": "10ms" to "10min" = "2s", Live, DRAINS, [],
+            "no pause is longer";
+    } },
+    Section { name: "log", key: None, says: "Lines on standard error.", rows: rows! {
+        "lines": "1/s" to "1000/s" = "5/s", Live, NONE, [],
+            "of each topic; what is left out is counted";
+    } },
+    Section { name: "process", key: None, says: "What only a start sets up.", rows: rows! {
+        "stack": "32KiB" to "1MiB" = "64KiB", NextStart, BOUNDS, [],
+            "memory of each connection's stack, taken as it is used";
+        "spare_stacks": "0" to "4096" = "64", NextStart, BOUNDS, [],
+            "stacks kept for the next connections";
+    } },
+    Section { name: "activation", key: None, says: "How a changed file is put in force and gone back from. The \
+figures in force before the change judge it.", rows: rows! {
+        "probation": "0s" to "1h" = "30s", Live, NONE, [],
+            "how long a change is watched before it is kept; zero keeps it at once";
+        "margin": "0.1%" to "100%" = "2%", Live, NONE, [],
+            "more of the demand turned away than before the change by this sends it back";
+        "least": "1" to "1000000" = "20", Live, NONE, [],
+            "fewer that were turned away are no reason to go back";
+        "kept": "2" to "64" = "8", Live, NONE, [],
+            "generations stored with `--state`";
+    } },
+];
+
+pub const CHECKS: [Check; 7] = [
+    memory_parts,
+    rooms,
+    descriptors,
+    rests,
+    pauses,
+    drain,
+    peers_times,
+];
+
+pub fn registry() -> Registry {
+    Registry::new(&SECTIONS, &CHECKS)
+}
+
+fn path(registry: &Registry, section: &str, row: &str) -> Path {
+    let (section, row) = registry.find(section, row).unwrap_or_default();
+    Path {
+        section,
+        key: None,
+        row,
+    }
+}
+
+fn paths(registry: &Registry, rows: &[(&str, &str)]) -> Vec<Path> {
+    rows.iter()
+        .map(|(section, row)| path(registry, section, row))
+        .collect()
+}
+
+/// Makes a conflict of these settings, if there is one.
+fn conflict(
+    registry: &Registry,
+    found: bool,
+    rows: &[(&str, &str)],
+    reason: impl Fn() -> String,
+) -> Vec<Conflict> {
+    if !found {
+        return Vec::new();
+    }
+    vec![Conflict {
+        paths: paths(registry, rows),
+        reason: reason(),
+        warning: false,
+    }]
+}
+
+fn written(unit: Unit, amount: i64) -> String {
+    Quantity::new(unit, amount).to_string()
+}
+
+/// The part of an amount, as the service reckons it.
+pub fn part(amount: i64, share: i64) -> i64 {
+    (i128::from(amount) * i128::from(share) / 1_000_000) as i64
+}
+
+fn memory_parts(r: &Registry, m: &Meaning, _: Machine) -> Vec<Conflict> {
+    let (clients, members) = (m.amount(r, "memory", "clients"), m.amount(r, "memory", "members"));
+    let rows = [("memory", "clients"), ("memory", "members")];
+    let sum = written(Unit::Share, clients + members);
+    let mut all = conflict(r, clients + members > 1_000_000, &rows, || {
+        format!("clients and members may fill {sum} of the memory together, which is more than the whole")
+    });
+    if all.is_empty() && clients + members > 1_000_000 - OWN_MEMORY {
+        let own = written(Unit::Share, 1_000_000 - clients - members);
+        all.push(Conflict {
+            paths: paths(r, &rows),
+            reason: format!("only {own} of the memory is left for the program itself: when both parts are full it is killed"),
+            warning: true,
+        });
+    }
+    all
+}
+
+/// A message may take a sixteenth of its room; below the least room that one statement needs, two of them would
+/// already turn each other away.
+fn rooms(r: &Registry, m: &Meaning, machine: Machine) -> Vec<Conflict> {
+    let too_small = |row: &str| {
+        let room = part(machine.memory, m.amount(r, "memory", row));
+        conflict(r, room < LEAST_ROOM, &[("memory", row)], || {
+            format!(
+                "{} of {} are {}, under the {} that one statement with its answer needs",
+                written(Unit::Share, m.amount(r, "memory", row)),
+                written(Unit::Size, machine.memory),
+                written(Unit::Size, room),
+                written(Unit::Size, LEAST_ROOM)
+            )
+        })
+    };
+    ["clients", "members"].into_iter().flat_map(too_small).collect()
+}
+
+fn descriptors(r: &Registry, m: &Meaning, machine: Machine) -> Vec<Conflict> {
+    let (reserve, share) = (
+        m.amount(r, "descriptors", "reserve"),
+        m.amount(r, "descriptors", "clients"),
+    );
+    let rows = [("descriptors", "reserve"), ("descriptors", "clients")];
+    let others = machine.descriptors - reserve;
+    let clients = part(others.max(0), share);
+    let (members, of) = (others - clients, machine.descriptors);
+    conflict(r, members < LEAST_FOR_MEMBERS || clients < 1, &rows, || {
+        format!(
+            "of {of} descriptors, {} are left for clients and {} for members",
+            clients.max(0),
+            members.max(0)
+        )
+    })
+}
+
+/// The fuller, the shorter: else a crowd would make room later than a few.
+fn rests(r: &Registry, m: &Meaning, _: Machine) -> Vec<Conflict> {
+    let at = |row| m.amount(r, "clients", row);
+    let rests = [
+        ("clients", "rest"),
+        ("clients", "filling_rest"),
+        ("clients", "crowded_rest"),
+    ];
+    let from = [("clients", "filling_from"), ("clients", "crowded_from")];
+    let upside_down = at("rest") < at("filling_rest") || at("filling_rest") < at("crowded_rest");
+    let mut all = conflict(r, upside_down, &rests, || {
+        "clients may rest longer the fuller it gets, so a crowd makes room last".to_owned()
+    });
+    all.extend(conflict(
+        r,
+        at("filling_from") > at("crowded_from"),
+        &from,
+        || "'filling_rest' begins above 'crowded_from', so it never counts".to_owned(),
+    ));
+    all
+}
+
+fn pauses(r: &Registry, m: &Meaning, _: Machine) -> Vec<Conflict> {
+    let at = |row| m.amount(r, "discovery", row);
+    let rows = [("discovery", "first_pause"), ("discovery", "longest_pause")];
+    conflict(r, at("first_pause") > at("longest_pause"), &rows, || {
+        "the first pause is longer than the longest".to_owned()
+    })
+}
+
+/// The longest statement timeout that may be in force for any statement, and where it is stated.
+fn longest_timeout(r: &Registry, m: &Meaning) -> (i64, Path) {
+    (
+        m.amount(r, "statements", "longest_timeout"),
+        path(r, "statements", "longest_timeout"),
+    )
+}
+
+/// A statement taken in the last moment of the arrivals is owed its answer at its own timeout.
+fn drain(r: &Registry, m: &Meaning, _: Machine) -> Vec<Conflict> {
+    let (timeout, stated) = longest_timeout(r, m);
+    let (drain, linger) = (
+        m.amount(r, "phases", "longest_drain"),
+        m.amount(r, "phases", "linger"),
+    );
+    if drain >= timeout.saturating_add(linger) {
+        return Vec::new();
+    }
+    let at = |us| written(Unit::Duration, us);
+    let reason = format!(
+        "breaks 'one final answer in time': a statement taken when the drain begins may be answered until {}, its \
+         answer read until {}, and the process ends at {}",
+        at(timeout),
+        at(timeout + linger),
+        at(drain)
+    );
+    let mut paths = paths(r, &[("phases", "linger"), ("phases", "longest_drain")]);
+    paths.push(stated);
+    vec![Conflict {
+        paths,
+        reason,
+        warning: false,
+    }]
+}
+
+/// Who is let go for resting must have been able to send a whole message before.
+fn peers_times(r: &Registry, m: &Meaning, _: Machine) -> Vec<Conflict> {
+    let at = |row| m.amount(r, "clients", row);
+    let (just_came, first) = (at("just_came"), at("first_statement"));
+    let rows = [("clients", "just_came"), ("clients", "first_statement")];
+    conflict(r, just_came > first, &rows, || {
+        "'just_came' outlasts 'first_statement': who says nothing would be kept for a first statement that may no \
+         longer come"
+            .to_owned()
+    })
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,22 @@
+//! The operators' language: files that state settings, checked before they serve.
+//!
+//! `load` reads files into a `meaning`, or into the `report`s of what is wrong; `registry` says what may be set;
+//! `format` writes a file in the one form; `generations` decides which meaning is in force, `probation` whether a
+//! change does harm, `shelf` what is kept of former ones. Only `load::Folder` and `store` touch files.
+
+pub mod eval;
+pub mod format;
+pub mod generations;
+pub mod host;
+pub mod lex;
+pub mod load;
+pub mod meaning;
+pub mod parse;
+pub mod probation;
+pub mod registry;
+pub mod report;
+pub mod shelf;
+pub mod store;
+pub mod syntax;
+pub mod unit;
+pub mod value;
--- /dev/null
+++ b/crates/config/src/unit.rs
@@ -0,0 +1,155 @@
+//! Quantities with their units, read and written without rounding: what a file says is what is compared.
+
+use std::fmt;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Unit {
+    Count,
+    /// In microseconds.
+    Duration,
+    /// In bytes.
+    Size,
+    /// In thousandths an hour.
+    Rate,
+    /// In millionths.
+    Share,
+}
+
+/// An amount in the base of its unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quantity {
+    pub unit: Unit,
+    pub amount: i64,
+}
+
+/// How each unit is written, the largest first, and how many of its base that is.
+#[rustfmt::skip]
+const WRITTEN: [(&str, Unit, i64); 19] = [
+    ("d", Unit::Duration, 86_400_000_000), ("h", Unit::Duration, 3_600_000_000), ("min", Unit::Duration, 60_000_000),
+    ("s", Unit::Duration, 1_000_000), ("ms", Unit::Duration, 1000), ("us", Unit::Duration, 1),
+    ("TiB", Unit::Size, 1 << 40), ("GiB", Unit::Size, 1 << 30), ("GB", Unit::Size, 1_000_000_000),
+    ("MiB", Unit::Size, 1 << 20), ("MB", Unit::Size, 1_000_000), ("KiB", Unit::Size, 1 << 10),
+    ("KB", Unit::Size, 1000), ("B", Unit::Size, 1),
+    ("/s", Unit::Rate, 3_600_000), ("/min", Unit::Rate, 60_000), ("/h", Unit::Rate, 1000),
+    ("%", Unit::Share, 10_000), ("", Unit::Count, 1),
+];
+
+impl Unit {
+    pub fn name(self) -> &'static str {
+        match self {
+            Unit::Count => "a count",
+            Unit::Duration => "a duration",
+            Unit::Size => "a size",
+            Unit::Rate => "a rate",
+            Unit::Share => "a share",
+        }
+    }
+
+    pub fn example(self) -> &'static str {
+        match self {
+            Unit::Count => "16",
+            Unit::Duration => "250ms or 1.5s",
+            Unit::Size => "64KiB or 32MB",
+            Unit::Rate => "200/s",
+            Unit::Share => "15%",
+        }
+    }
+
+    /// How a zero of it is written.
+    fn zero(self) -> &'static str {
+        match self {
+            Unit::Count => "0",
+            Unit::Duration => "0s",
+            Unit::Size => "0B",
+            Unit::Rate => "0/s",
+            Unit::Share => "0%",
+        }
+    }
+}
+
+/// Why a number can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    UnknownUnit,
+    TooLarge,
+    /// Something is left below the base of the unit.
+    TooFine,
+}
+
+impl Unread {
+    pub fn reason(self) -> &'static str {
+        match self {
+            Unread::UnknownUnit => "no such unit",
+            Unread::TooLarge => "the number is too large",
+            Unread::TooFine => "the number is finer than its unit can be told",
+        }
+    }
+}
+
+/// The suffixes that a number may carry.
+pub fn suffixes() -> impl Iterator<Item = &'static str> {
+    WRITTEN
+        .iter()
+        .map(|(suffix, _, _)| *suffix)
+        .filter(|s| !s.is_empty())
+}
+
+/// Where the number ends and its unit begins.
+pub fn suffix_at(text: &str) -> usize {
+    text.find(|c: char| !c.is_ascii_digit() && c != '.')
+        .unwrap_or(text.len())
+}
+
+impl Quantity {
+    pub const fn new(unit: Unit, amount: i64) -> Quantity {
+        Quantity { unit, amount }
+    }
+
+    /// Reads a literal such as `16`, `1.2s`, `64KiB`, `200/s` or `15%`.
+    pub fn read(text: &str) -> Result<Quantity, Unread> {
+        let (number, suffix) = text.split_at(suffix_at(text));
+        let found = WRITTEN.iter().find(|(written, _, _)| *written == suffix);
+        let (_, unit, scale) = *found.ok_or(Unread::UnknownUnit)?;
+        let (whole, part) = number.split_once('.').unwrap_or((number, ""));
+        let part = part.trim_end_matches('0');
+        if part.len() > 15 {
+            return Err(Unread::TooFine);
+        }
+        let digits = |text: &str| match text {
+            "" => Ok(0),
+            text => text.parse::<i128>().map_err(|_| Unread::TooLarge),
+        };
+        let tens = 10i128.pow(part.len() as u32);
+        let whole = digits(whole)?.checked_mul(tens).ok_or(Unread::TooLarge)?;
+        let scaled = (whole + digits(part)?).checked_mul(i128::from(scale));
+        let scaled = scaled.ok_or(Unread::TooLarge)?;
+        if scaled % tens != 0 {
+            return Err(Unread::TooFine);
+        }
+        let amount = i64::try_from(scaled / tens).map_err(|_| Unread::TooLarge)?;
+        Ok(Quantity { unit, amount })
+    }
+}
+
+/// The literal that reads back to the same: in the largest unit that leaves no rest.
+impl fmt::Display for Quantity {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        if self.amount == 0 {
+            return f.write_str(self.unit.zero());
+        }
+        let mut own = WRITTEN.iter().filter(|(_, unit, _)| *unit == self.unit);
+        let whole = own.clone().find(|(_, _, scale)| self.amount % scale == 0);
+        if let Some((suffix, _, scale)) = whole {
+            return write!(f, "{}{suffix}", self.amount / scale);
+        }
+        let Some((suffix, _, scale)) = own.next_back() else {
+            return Ok(());
+        };
+        let sign = if self.amount < 0 { "-" } else { "" };
+        let (amount, scale) = (self.amount.unsigned_abs(), scale.unsigned_abs());
+        let places = scale.ilog10() as usize;
+        let part = format!("{:0places$}", amount % scale);
+        let part = part.trim_end_matches('0');
+        write!(f, "{sign}{}.{part}{suffix}", amount / scale)
+    }
+}
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -1,8 +1,10 @@
 //! The routing service on real sockets: `asterlatch serve`.
 
 use asterlatch_driver::program::config::{self, Config};
-use asterlatch_driver::program::serve;
-use clap::{Parser, Subcommand};
+use asterlatch_driver::program::log::{self, Format};
+use asterlatch_driver::program::{commands, operators, serve};
+use clap::{Args, Parser, Subcommand};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 #[derive(Parser)]
@@ -16,6 +18,20 @@
     command: Command,
 }
 
+/// What the operators own.
+#[derive(Args)]
+struct OperatorsArguments {
+    /// The operators' file
+    #[arg(long, env = "ASTERLATCH_OPERATORS")]
+    operators: Option<String>,
+    /// A folder for former generations of its meaning
+    #[arg(long, env = "ASTERLATCH_STATE", requires = "operators")]
+    state: Option<PathBuf>,
+    /// Don't start on a former generation where the file is faulty
+    #[arg(long)]
+    strict: bool,
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Serve clients until told to leave (SIGTERM); SIGUSR1 prints the counters, SIGHUP reads the configuration again
@@ -23,13 +39,24 @@
         /// The configuration, a JSON file
         #[arg(long, env = "RELAY_CONFIG")]
         config: String,
+        #[command(flatten)]
+        operators: OperatorsArguments,
+        /// How lines of the log are written
+        #[arg(long, value_enum, default_value_t, env = "ASTERLATCH_LOG_FORMAT")]
+        log_format: Format,
     },
     /// Read the configuration and say whether it could be served, without serving
     Check {
         /// The configuration, a JSON file
         #[arg(long, env = "RELAY_CONFIG")]
         config: String,
+        /// The operators' file
+        #[arg(long, env = "ASTERLATCH_OPERATORS")]
+        operators: Option<String>,
     },
+    /// Check, format, compare and show operators' files; go back to former ones
+    #[command(subcommand)]
+    Config(commands::Command),
     /// Print the version
     Version,
 }
@@ -40,8 +67,23 @@
 
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
-        Command::Serve { config } => load(&config).and_then(|c| serve::serve(c, || load(&config))),
-        Command::Check { config } => load(&config).and_then(|c| serve::check(&c)),
+        Command::Serve {
+            config,
+            operators,
+            log_format,
+        } => {
+            log::start(log_format);
+            let given = operators::Given {
+                file: operators.operators,
+                state: operators.state,
+                strict: operators.strict,
+            };
+            load(&config).and_then(|c| serve::serve(c, || load(&config), &given))
+        }
+        Command::Check { config, operators } => {
+            load(&config).and_then(|c| serve::check(&c, operators.as_deref()))
+        }
+        Command::Config(command) => return ExitCode::from(commands::run(&command)),
         Command::Version => {
             println!("asterlatch {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/driver/src/program/mod.rs
+++ b/crates/driver/src/program/mod.rs
@@ -1,8 +1,10 @@
 //! The process: command line, configuration, phases, signals, log and counters.
 
+pub mod commands;
 pub mod config;
 pub mod counters;
 pub mod log;
+pub mod operators;
 pub mod phases;
 pub mod serve;
 pub mod signals;
--- a/crates/driver/src/program/phases.rs
+++ b/crates/driver/src/program/phases.rs
@@ -30,16 +30,32 @@
     }
 }
 
-/// How long clients may still arrive once the process was told to leave.
-const ARRIVALS: Span = Span::millis(450);
+/// The times of the phases, which the operators may set.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Times {
+    /// How long clients may still arrive once the process was told to leave.
+    pub arrivals: Span,
+    /// How long a client that has its answer, and doesn't read it, is waited for; and since the last statement was
+    /// open, for the next one of a row may be on its way to the owner.
+    pub linger: Span,
+    /// A drain is never longer.
+    pub longest_drain: Span,
+}
 
-/// How long a client that has its answer, and doesn't read it, is waited for; and since the last statement was open,
-/// for the next one of a row may be on its way to the owner.
-const LINGER: Span = Span::millis(1000);
+impl Default for Times {
+    fn default() -> Times {
+        Times {
+            arrivals: Span::millis(450),
+            linger: Span::millis(1000),
+            longest_drain: Span::millis(25 * 3_600_000),
+        }
+    }
+}
 
 #[derive(Default)]
 pub struct Phases {
     phase: Phase,
+    pub times: Times,
     /// When a statement was last seen open.
     busy_at: Point,
 }
@@ -62,7 +78,7 @@
         let next = match self.phase {
             Phase::Starting if seen.listening => Phase::Serving,
             Phase::Serving if seen.told_to_leave => Phase::Leaving { since: now },
-            Phase::Leaving { since } if now - since >= ARRIVALS => Phase::Draining { since: now },
+            Phase::Leaving { since } if now - since >= self.times.arrivals => Phase::Draining { since: now },
             Phase::Draining { .. } if seen.listener_closed && seen.open_clients == 0 => Phase::Stopped,
             Phase::Draining { since } if now >= self.lingers_until(since) => Phase::Stopped,
             _ => return None,
@@ -72,13 +88,14 @@
     }
 
     fn lingers_until(&self, draining_since: Point) -> Point {
-        draining_since.max(self.busy_at) + LINGER
+        let lingers = draining_since.max(self.busy_at) + self.times.linger;
+        lingers.min(draining_since + self.times.longest_drain)
     }
 
     /// When time alone takes it on.
     pub fn next_at(&self, now: Point) -> Point {
         match self.phase {
-            Phase::Leaving { since } => since + ARRIVALS,
+            Phase::Leaving { since } => since + self.times.arrivals,
             Phase::Draining { since } if now < self.lingers_until(since) => self.lingers_until(since),
             _ => Point(u64::MAX),
         }
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -3,6 +3,7 @@
 use super::config::Config;
 use super::counters;
 use super::log::{log, Log};
+use super::operators::{self, InForce, Operators};
 use super::phases::{Phase, Phases, Seen};
 use super::signals;
 use crate::protocol::execution::Executions;
@@ -18,13 +19,20 @@
 use std::sync::mpsc::channel;
 
 /// Serves until told to leave; `again` reads the configuration another time.
-pub fn serve(config: Config, again: impl Fn() -> Result<Config, String>) -> Result<(), String> {
-    transport::start();
+pub fn serve(
+    config: Config,
+    again: impl Fn() -> Result<Config, String>,
+    given: &operators::Given,
+) -> Result<(), String> {
+    let mut machine = operators::machine(&config);
+    let start = operators::start(given, machine)?;
+    let force = InForce::of(&start.meaning);
+    transport::start(force.stacks);
     let clock = Clock::start();
     let (queue, inputs) = channel();
     signals::forward(queue.clone()).map_err(|e| format!("signals: {e}"))?;
-    let (to_members, to_discovery) = (queue.clone(), queue.clone());
-    let memory = config.given.rooms();
+    let (to_members, to_discovery, to_operators) = (queue.clone(), queue.clone(), queue.clone());
+    let memory = config.given.rooms(&force.limits);
     // Discovery has one connection, whose answers have a bound of their own.
     let (room, unbound) = (memory.1.clone(), Room::new(usize::MAX));
     let longest = messages::bound(room.most());
@@ -37,6 +45,7 @@
             stream::dial::<_, Input>(call.address, watch, &to_discovery, (clock, &unbound))
         }),
         given: config.given,
+        limits: force.limits,
         memory: memory.clone(),
     };
     let mut owner = Owner::new(
@@ -55,15 +64,27 @@
     let listening = listening.map_err(|e| format!("{}: {e}", config.listen))?;
     owner.attach(listening);
     let mut phases = Phases::default();
+    operators::take_over(&mut owner, &mut phases, &force);
+    for line in &start.lines {
+        log!(owner.observer, clock.now(), "operators", "{line}");
+    }
+    let mut operators = Operators::new(given, start, to_operators)?;
     let mut told_to_leave = false;
     owner.run(&inputs, clock, |owner, now| {
         for notice in std::mem::take(&mut owner.notices) {
             match notice {
                 Notice::Leave => told_to_leave = true,
                 Notice::Report => report(owner, now),
-                Notice::Reload => reload(owner, now, &config, again()),
+                Notice::Reload => {
+                    let newer = again();
+                    machine = newer.as_ref().map_or(machine, operators::machine);
+                    reload(owner, now, &config, newer);
+                    operators.changed(machine);
+                }
+                Notice::Done => {}
             }
         }
+        operators.steer(owner, &mut phases, now, machine);
         let seen = Seen {
             told_to_leave,
             listening: owner.is_listening(),
@@ -86,7 +107,7 @@
                 _ => {}
             }
         }
-        Some(phases.next_at(now))
+        Some(phases.next_at(now).min(operators.next_at()))
     });
     report(&mut owner, clock.now());
     Ok(())
@@ -118,12 +139,23 @@
 }
 
 fn report(owner: &mut Owner<Log>, now: Point) {
+    owner.figures.log_lines_left_out = owner.observer.left_out;
     let line = counters::line(&owner.figures);
     log!(owner.observer, now, "counters", "{line}");
 }
 
 /// Says whether this configuration could be served, by all that serving would need of it.
-pub fn check(config: &Config) -> Result<(), String> {
+pub fn check(config: &Config, operators: Option<&str>) -> Result<(), String> {
+    if let Some(path) = operators {
+        let outcome = operators::read(path, operators::machine(config));
+        let text = outcome.text();
+        let text = text.trim_end();
+        match outcome.meaning {
+            None => return Err(format!("the operators' file is faulty\n{text}")),
+            Some(_) if !text.is_empty() => eprintln!("{text}"),
+            Some(_) => {}
+        }
+    }
     let address = config.listen;
     std::net::TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
     let members = config.known.as_ref().map_or(0, |k| k.entries.len());
--- a/crates/driver/src/routing/calls.rs
+++ b/crates/driver/src/routing/calls.rs
@@ -1,21 +1,12 @@
 //! Calls to discovery: one watch at a time, and when the next one is due.
 
+use super::limits::Limits;
 use crate::transport::stream::Line;
 use asterlatch::time::{Point, Span};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 
-/// How long a watch may wait for news, and how much longer its answer may take. A connection may fall silent without
-/// a sign: for as long as both nothing is heard of members that come and go.
-const WATCH: Span = Span::millis(2000);
-const WATCH_LATE: Span = Span::millis(1000);
-/// A list that is asked for without waiting comes at once, or discovery is silent.
-const LIST_LATE: Span = Span::millis(1000);
-/// Pauses after a failed call.
-const FIRST_PAUSE: Span = Span::millis(100);
-const LONGEST_PAUSE: Span = Span::millis(2000);
-
 /// What a call needs to know: its number, whom to call, how long a watch waits and after which version.
 pub struct Call {
     pub number: u32,
@@ -38,10 +29,13 @@
     index: Option<u64>,
     /// The module says when to call.
     on_request: bool,
+    limits: Limits,
+    /// How long the call in use may take for news: it was made with this.
+    news_within: Span,
 }
 
 impl Calls {
-    pub fn new(dial: Dial, address: SocketAddr, on_request: bool, now: Point) -> Calls {
+    pub fn new(dial: Dial, address: SocketAddr, on_request: bool, limits: Limits, now: Point) -> Calls {
         Calls {
             dial,
             address,
@@ -49,12 +43,19 @@
             number: 0,
             ends: now,
             again: (!on_request).then_some(now),
-            pause: FIRST_PAUSE,
+            pause: limits.first_pause,
             index: None,
             on_request,
+            limits,
+            news_within: limits.watch + limits.watch_late,
         }
     }
 
+    /// For calls from now on.
+    pub fn bound(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     pub fn next_at(&self) -> Option<Point> {
         let ends = self.line.as_ref().map(|_| self.ends);
         ends.into_iter().chain(self.again).min()
@@ -71,8 +72,9 @@
         }
         self.number += 1;
         let (number, after) = (self.number, self.index);
-        let wait_ms = WATCH.0 / 1000;
-        self.ends = now + after.map_or(LIST_LATE, |_| WATCH + WATCH_LATE);
+        let wait_ms = self.limits.watch.0 / 1000;
+        self.news_within = self.limits.watch + self.limits.watch_late;
+        self.ends = now + after.map_or(self.limits.list_late, |_| self.news_within);
         self.line = (self.dial)(Call {
             number,
             address: self.address,
@@ -90,13 +92,13 @@
             return;
         }
         (self.address, self.line, self.index) = (address, None, None);
-        (self.pause, self.again) = (FIRST_PAUSE, Some(now));
+        (self.pause, self.again) = (self.limits.first_pause, Some(now));
     }
 
     /// News came; the next watch is on its way already.
     pub fn told(&mut self, now: Point, index: u64) {
-        self.ends = now + WATCH + WATCH_LATE;
-        self.pause = FIRST_PAUSE;
+        self.ends = now + self.news_within;
+        self.pause = self.limits.first_pause;
         self.index = Some(index);
     }
 
@@ -106,7 +108,7 @@
         self.line = None;
         if !self.on_request {
             self.again = Some(now + self.pause);
-            self.pause = (self.pause + self.pause).min(LONGEST_PAUSE);
+            self.pause = (self.pause + self.pause).min(self.limits.longest_pause);
         }
         self.on_request
     }
--- a/crates/driver/src/routing/clients.rs
+++ b/crates/driver/src/routing/clients.rs
@@ -1,23 +1,11 @@
 //! Clients' connections: how many of them there may be, and how long each may take.
 
+use super::limits::Limits;
 use crate::protocol::session::Say;
 use crate::transport::stream::Line;
 use asterlatch::time::{Point, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// From a client's arrival to its first whole statement. Whoever says nothing, or not enough, holds a place that
-/// somebody else may need.
-const ARRIVING: Span = Span::millis(2500);
-/// From the first byte of a message to its last.
-const MESSAGE: Span = Span::millis(2500);
-/// Between two statements; less from these parts on of all places that those who have asked hold. Clients that ask
-/// once and stay would else keep those out that are still to ask: they may hold a part of the descriptors only, and
-/// wait for it.
-const RESTING: Span = Span::millis(10_000);
-const RESTING_AMONG: [(f64, Span); 2] = [(0.4, Span::millis(100)), (0.25, Span::millis(2200))];
-/// Who came within this may have sent its first statement already.
-const JUST_CAME: Span = Span::millis(300);
-
 /// What a client without an open statement is at.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Pause {
@@ -46,6 +34,7 @@
     /// How many of all have asked for something.
     asked: usize,
     most: usize,
+    limits: Limits,
     leaving: bool,
 }
 
@@ -59,18 +48,20 @@
 }
 
 impl Clients {
-    pub fn new(most: usize) -> Clients {
+    pub fn new(most: usize, limits: Limits) -> Clients {
         Clients {
             open: BTreeMap::new(),
             pauses: Default::default(),
             asked: 0,
             most,
+            limits,
             leaving: false,
         }
     }
 
-    pub fn bound(&mut self, most: usize) {
-        self.most = most;
+    /// From now on; who is here stays, but for pauses that are too long by then.
+    pub fn bound(&mut self, most: usize, limits: Limits) {
+        (self.most, self.limits) = (most, limits);
     }
 
     pub fn count(&self) -> usize {
@@ -124,7 +115,7 @@
     pub fn free_one(&mut self, now: Point) -> bool {
         let arriving = self.first(Pause::Arriving);
         let many = self.pauses[Pause::Arriving as usize].len() > self.most / 2;
-        let silent = arriving.filter(|(since, _)| many || now - *since > JUST_CAME);
+        let silent = arriving.filter(|(since, _)| many || now - *since > self.limits.just_came);
         let Some((_, id)) = silent.or(self.first(Pause::Resting)).or(arriving) else {
             return false;
         };
@@ -139,12 +130,16 @@
 
     fn limit(&self, pause: Pause) -> Span {
         match pause {
-            Pause::Arriving => ARRIVING,
-            Pause::Writing => MESSAGE,
+            Pause::Arriving => self.limits.first_statement,
+            Pause::Writing => self.limits.message,
             Pause::Resting => {
                 let part = self.asked as f64 / self.most as f64;
-                let found = RESTING_AMONG.iter().find(|(from, _)| part >= *from);
-                found.map_or(RESTING, |(_, limit)| *limit)
+                let found = self
+                    .limits
+                    .rest_among
+                    .iter()
+                    .find(|(from, _)| part >= from.ratio());
+                found.map_or(self.limits.rest, |(_, limit)| *limit)
             }
         }
     }
--- a/crates/driver/src/routing/errands.rs
+++ b/crates/driver/src/routing/errands.rs
@@ -1,5 +1,6 @@
 //! What members' connections are busy with: executions and probes, each with the time at which it ends.
 
+use super::limits::Part;
 use crate::protocol::execution::Run;
 use crate::transport::ages::Ages;
 use crate::transport::pool::Pool;
@@ -56,18 +57,17 @@
     ends: BTreeSet<(Point, u32)>,
     ages: Ages,
     connect_timeout: Span,
+    /// The settings' idle time, and the part of it that is used.
+    idle_whole: Span,
     idle: Span,
     most: usize,
 }
 
-/// Share of the settings' idle time after which a connection is no longer used: what is written to one that its
-/// machine has closed ends as a loss.
-const IDLE_SHARE: f64 = 0.85;
 /// Linux's errors for want of descriptors, which say nothing of the member.
 const NO_DESCRIPTOR: [i32; 2] = [23, 24];
 
 impl Errands {
-    pub fn new(dial: Dial, connect_timeout: Span, idle: Span, most: usize) -> Errands {
+    pub fn new(dial: Dial, connect_timeout: Span, idle: (Span, Part), most: usize) -> Errands {
         Errands {
             pool: Pool::default(),
             dial,
@@ -76,13 +76,14 @@
             ends: BTreeSet::new(),
             ages: Ages::default(),
             connect_timeout,
-            idle: idle * IDLE_SHARE,
+            idle_whole: idle.0,
+            idle: idle.0 * idle.1.ratio(),
             most,
         }
     }
 
-    pub fn bound(&mut self, most: usize) {
-        self.most = most;
+    pub fn bound(&mut self, most: usize, idle: Part) {
+        (self.most, self.idle) = (most, self.idle_whole * idle.ratio());
     }
 
     pub fn connections(&self) -> usize {
--- a/crates/driver/src/routing/figures.rs
+++ b/crates/driver/src/routing/figures.rs
@@ -50,6 +50,7 @@
     reloads,
     reloads_failed,
     late_answers_dropped,
+    log_lines_left_out,
     queue_longest,
     wake_up_latest_us,
     open_statements,
--- a/crates/driver/src/routing/mod.rs
+++ b/crates/driver/src/routing/mod.rs
@@ -5,6 +5,7 @@
 pub mod endings;
 pub mod errands;
 pub mod figures;
+pub mod limits;
 pub mod owner;
 pub mod queue;
 pub mod statements;
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -5,6 +5,7 @@
 use super::endings;
 use super::errands::{self, Errand, Errands, Kind};
 use super::figures::Figures;
+use super::limits::{Limits, WorkloadLimits};
 use super::queue::{Input, Notice};
 use super::statements::Statements;
 use super::tables::{session, Members, Names};
@@ -19,21 +20,11 @@
 use asterlatch::interface::*;
 use asterlatch::time::{Point, Span};
 use asterlatch_settings::Decoding;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
-/// A failed accept is tried again after this.
-const ACCEPT_AGAIN: Span = Span::millis(50);
-/// Descriptors kept for what is neither a client's nor a member's.
-const RESERVE: usize = 48;
-/// Parts of the other descriptors that are clients': one that waits for its turn has no execution out.
-const CLIENTS: (usize, usize) = (2, 3);
-/// Part of the memory that clients may fill, with what they sent and what they leave unread, and members.
-const CLIENTS_MEMORY: usize = 4;
-const MEMBERS_MEMORY: usize = 4;
-
 /// What the outside world is told of.
 pub trait Observer {
     fn say(&mut self, now: Point, topic: &'static str, text: std::fmt::Arguments);
@@ -44,6 +35,7 @@
     pub members: errands::Dial,
     pub discovery: calls::Dial,
     pub given: Given,
+    pub limits: Limits,
     /// For clients and for members.
     pub memory: (Memory, Memory),
 }
@@ -58,19 +50,22 @@
 
 impl Given {
     /// How much memory what clients and members send may fill.
-    fn bytes(&self) -> (usize, usize) {
-        (self.memory / CLIENTS_MEMORY, self.memory / MEMBERS_MEMORY)
+    fn bytes(&self, limits: &Limits) -> (usize, usize) {
+        (
+            limits.clients_memory.of(self.memory),
+            limits.members_memory.of(self.memory),
+        )
     }
 
-    pub fn rooms(&self) -> (Memory, Memory) {
-        let (clients, members) = self.bytes();
+    pub fn rooms(&self, limits: &Limits) -> (Memory, Memory) {
+        let (clients, members) = self.bytes(limits);
         (Memory::new(clients), Memory::new(members))
     }
 
     /// How many connections clients and members may have.
-    fn connections(&self) -> (usize, usize) {
-        let most = self.sockets.saturating_sub(RESERVE).max(2);
-        let clients = most * CLIENTS.0 / CLIENTS.1;
+    pub fn connections(&self, limits: &Limits) -> (usize, usize) {
+        let most = self.sockets.saturating_sub(limits.reserve).max(2);
+        let clients = limits.clients.of(most).max(1);
         (clients, most - clients)
     }
 }
@@ -96,6 +91,10 @@
     errands: Errands,
     calls: Calls,
     memory: (Memory, Memory),
+    given: Given,
+    limits: Limits,
+    /// By workload.
+    workload_limits: Vec<WorkloadLimits>,
     ended: VecDeque<Ended>,
     module_wakes: Option<Point>,
     accept_again: Option<Point>,
@@ -112,19 +111,29 @@
         now: Point,
         observer: O,
     ) -> Owner<O> {
-        let given = place.given;
-        let (most_clients, most_members) = given.connections();
+        let (given, limits) = (place.given, place.limits);
+        let (most_clients, most_members) = given.connections(&limits);
         let (timeout, idle) = (decoding.connect_timeout, settings.connection_idle);
+        let idle = (idle, limits.member_idle);
         Owner {
             module: choice::Driver::new(&settings, seed, now),
             workloads: Names::of(&decoding.workloads),
             freshness: settings.workloads.iter().map(|w| w.freshness).collect(),
             members: Members::new(&decoding.zones),
-            clients: Clients::new(most_clients),
+            clients: Clients::new(most_clients, limits),
             statements: Statements::default(),
             errands: Errands::new(place.members, timeout, idle, most_members),
-            calls: Calls::new(place.discovery, given.discovery, settings.list_on_request, now),
+            calls: Calls::new(
+                place.discovery,
+                given.discovery,
+                settings.list_on_request,
+                limits,
+                now,
+            ),
             memory: place.memory,
+            given,
+            limits,
+            workload_limits: vec![WorkloadLimits::default(); settings.workloads.len()],
             decoding,
             observer,
             figures: Figures::default(),
@@ -227,13 +236,39 @@
 
     /// Takes over what has changed. Whatever is open stays: fewer connections come about as they end.
     pub fn give(&mut self, now: Point, given: Given) {
-        let (clients, members) = given.connections();
-        self.clients.bound(clients);
-        self.errands.bound(members);
-        let (of_clients, of_members) = given.bytes();
+        self.given = given;
+        self.bound();
+        self.calls.move_to(now, given.discovery);
+    }
+
+    /// Takes over what the operators set. Newcomers are bound by it first; nothing open ends for a smaller limit,
+    /// but for pauses that are too long by then.
+    pub fn limit(&mut self, limits: Limits, by_workload: &BTreeMap<String, WorkloadLimits>) {
+        self.limits = limits;
+        self.workload_limits.fill(WorkloadLimits::default());
+        for (name, limits) in by_workload {
+            let workload = self.workloads.find(&asterlatch_settings::word(name));
+            if let Some(own) = workload.and_then(|w| self.workload_limits.get_mut(w)) {
+                *own = *limits;
+            }
+        }
+        self.bound();
+    }
+
+    fn bound(&mut self) {
+        let (given, limits) = (self.given, self.limits);
+        let (clients, members) = given.connections(&limits);
+        self.clients.bound(clients, limits);
+        self.errands.bound(members, limits.member_idle);
+        self.calls.bound(limits);
+        let (of_clients, of_members) = given.bytes(&limits);
         self.memory.0.bound(of_clients);
         self.memory.1.bound(of_members);
-        self.calls.move_to(now, given.discovery);
+    }
+
+    /// Bytes that clients and members fill now.
+    pub fn memory_taken(&self) -> usize {
+        self.memory.0.taken() + self.memory.1.taken()
     }
 
     pub fn attach(&mut self, listening: Listening) {
@@ -278,7 +313,7 @@
                 self.figures.accepts_failed += 1;
                 let text = format_args!("a client could not be accepted: {e}");
                 self.observer.say(now, "accept", text);
-                self.accept_again = Some(now + ACCEPT_AGAIN);
+                self.accept_again = Some(now + self.limits.accept_again);
                 self.figures.clients_closed_for_room += u64::from(self.clients.free_one(now));
             }
             Arrival::Closed => self.listener_closed = true,
@@ -321,7 +356,8 @@
 
     fn statement(&mut self, now: Point, (client, number): (u32, u32), text: Text, at: Point) {
         let marked = comment::read(&text.text);
-        let (workload, marked) = match marked.and_then(|m| Ok((self.routable(&m)?, m))) {
+        let length = text.text.len();
+        let (workload, marked) = match marked.and_then(|m| Ok((self.routable(&m, length)?, m))) {
             Ok(marked) => marked,
             Err(fault) => {
                 self.figures.statements_unreadable += 1;
@@ -331,7 +367,13 @@
             }
         };
         self.figures.statements_taken += 1;
-        let (id, times_out) = self.statements.hold((client, number), text, &marked, at);
+        let own = self.workload_limits[workload].timeout;
+        let longest = own.map_or(self.limits.longest_timeout, |own| {
+            own.min(self.limits.longest_timeout)
+        });
+        let (id, times_out) = self
+            .statements
+            .hold((client, number), text, &marked, (at, longest));
         self.clients.waits_for(client, id);
         let sessions = matches!(self.freshness[workload], Freshness::Session | Freshness::Write);
         let key = marked.key.as_deref().filter(|_| sessions);
@@ -351,7 +393,7 @@
     }
 
     /// The workload of a statement that can be routed.
-    fn routable(&self, marked: &Marked) -> Result<usize, Unreadable> {
+    fn routable(&self, marked: &Marked, length: usize) -> Result<usize, Unreadable> {
         if self.statements.has_name(marked.id) {
             return Err(comment::SAME_ID);
         }
@@ -359,7 +401,11 @@
             return Err(comment::NO_GROUP);
         }
         let known = self.workloads.find(&asterlatch_settings::word(&marked.workload));
-        known.ok_or(comment::NO_WORKLOAD)
+        let workload = known.ok_or(comment::NO_WORKLOAD)?;
+        match self.workload_limits[workload].longest {
+            Some(longest) if length > longest => Err(comment::TOO_LARGE),
+            _ => Ok(workload),
+        }
     }
 
     /// Gives a statement its one final answer; a later one finds it gone.
--- a/crates/driver/src/routing/queue.rs
+++ b/crates/driver/src/routing/queue.rs
@@ -10,6 +10,8 @@
     Report,
     /// The configuration is to be read again.
     Reload,
+    /// Something was done for the program beside this queue.
+    Done,
 }
 
 pub enum Input {
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -19,9 +19,6 @@
     executions: u8,
 }
 
-/// A client's wait is never taken for longer.
-const LONGEST_WAIT_MS: u64 = 86_400_000;
-
 #[derive(Default)]
 pub struct Statements {
     held: BTreeMap<u32, Held>,
@@ -43,16 +40,17 @@
         self.names.contains(&name)
     }
 
-    /// Holds a statement that came at `at`, and gives it an id; says that and its statement timeout.
+    /// Holds a statement that came then, and gives it an id; says that and its statement timeout, which is its
+    /// client's or the longest that is allowed.
     pub fn hold(
         &mut self,
         (client, number): (u32, u32),
         text: Text,
         marked: &Marked,
-        at: Point,
+        (at, longest): (Point, Span),
     ) -> (u32, Point) {
         self.next = self.next.wrapping_add(1);
-        let times_out = at + Span::millis(marked.left_ms.min(LONGEST_WAIT_MS));
+        let times_out = at + Span::millis(marked.left_ms).min(longest);
         let held = Held {
             client,
             number,
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -8,6 +8,7 @@
 use asterlatch_driver::protocol::session::{Final, Heard as Client, Say, Text};
 use asterlatch_driver::protocol::watch::{Heard as Discovery, News};
 use asterlatch_driver::routing::calls::Call;
+use asterlatch_driver::routing::limits::Limits;
 use asterlatch_driver::routing::owner::{Given, Observer, Owner, Place};
 use asterlatch_driver::routing::queue::Input;
 use asterlatch_driver::transport::ages::Ages;
@@ -99,7 +100,8 @@
             sockets,
             memory,
         };
-        let rooms = given.rooms();
+        let limits = Limits::default();
+        let rooms = given.rooms(&limits);
         let place = Place {
             members: Box::new(move |id, address| match f.borrow_mut().take() {
                 Some(code) => Err(io::Error::from_raw_os_error(code)),
@@ -115,6 +117,7 @@
                 Ok(Line::to(sender))
             }),
             given,
+            limits,
             memory: rooms.clone(),
         };
         let json = serde_json::from_str(settings).expect("is JSON");
