Configuration language: corpus, grammar sentences, hardness, generations and service tests

The language and its activation had no tests of their own. Found by them and mended: the formatter lost broken lists and put commas into indices; faults of a long file kept the one loud line back (each kind of line has its own limit now); a change that came before the first sample was judged against an empty driver.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= $(RELAY_CONFIG)
 
-.PHONY: build test lint run check ci
+.PHONY: build test lint run check ci bench-config bench-flood fuzz-config
 
 build:
 	cargo build --release --locked
@@ -20,3 +20,14 @@
 
 ci:
 	bash .ci/run
+
+# Outside CI: costs by size, and the fuzz target for five minutes (needs cargo-fuzz and a nightly tool chain).
+bench-config:
+	cargo bench -p asterlatch-config --locked --bench size
+
+# Processor time of a flood of bad input, against an earlier build: make bench-flood BEFORE=path/to/asterlatch
+bench-flood:
+	BEFORE="$(BEFORE)" cargo bench -p asterlatch-driver --locked --bench flood
+
+fuzz-config:
+	cd crates/config && cargo fuzz run read -- -max_total_time=300
--- /dev/null
+++ b/crates/config/benches/size.rs
@@ -0,0 +1,116 @@
+//! What checking and comparing costs by the number of entries, and the most memory that it takes: `make bench-config`.
+//! Counts of bytes are the same from run to run; times are compared within this one run alone.
+
+use asterlatch_config::host;
+use asterlatch_config::load::{read, Held, Outcome};
+use asterlatch_config::meaning::changes;
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+struct Counting;
+static NOW: AtomicUsize = AtomicUsize::new(0);
+static MOST: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call goes on to the system's allocator with the same arguments; only counts are kept beside it.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        let now = NOW.fetch_add(layout.size(), Ordering::Relaxed) + layout.size();
+        MOST.fetch_max(now, Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        NOW.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(at, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+const INCLUDES: usize = 50;
+const RUNS: usize = 40;
+
+fn files(entries: usize, timeout: usize) -> Held {
+    let mut files = BTreeMap::new();
+    let mut root = String::new();
+    for include in 0..INCLUDES {
+        let name = format!("part{include}.latch");
+        root.push_str(&format!("load(\"{name}\")\n"));
+        let entry = |n: usize| {
+            format!(
+                "workload(\"workload-{n}\", timeout = {}ms, longest = 16KiB)\n",
+                timeout + n
+            )
+        };
+        let text: String = (include..entries).step_by(INCLUDES).map(entry).collect();
+        files.insert(name, text.into_bytes());
+    }
+    files.insert("root.latch".to_owned(), root.into_bytes());
+    Held(files)
+}
+
+fn check(files: &Held) -> Outcome {
+    let outcome = read("root.latch", files, &host::registry(), host::MACHINE);
+    assert!(outcome.meaning.is_some(), "{}", outcome.text());
+    outcome
+}
+
+/// The shortest of some runs: what the work takes when nothing else is in its way.
+fn shortest(mut run: impl FnMut()) -> Duration {
+    let one = |_| {
+        let start = Instant::now();
+        run();
+        start.elapsed()
+    };
+    (0..RUNS).map(one).min().unwrap_or_default()
+}
+
+fn main() {
+    let registry = host::registry();
+    println!("entries  check/entry  diff/entry  peak bytes/entry   (ratios to 1,000 entries)");
+    let mut rows = Vec::new();
+    for entries in [100, 1000, 10_000] {
+        let (old, new) = (files(entries, 1000), files(entries, 2000));
+        let before = NOW.load(Ordering::Relaxed);
+        MOST.store(before, Ordering::Relaxed);
+        let outcome = check(&old);
+        let peak = MOST.load(Ordering::Relaxed) - before;
+        let (a, b) = (
+            outcome.meaning.expect("valid"),
+            check(&new).meaning.expect("valid"),
+        );
+        let checked = shortest(|| drop(check(&old)));
+        let compared = shortest(|| assert_eq!(changes(&registry, &a, &b).len(), entries));
+        let each = |d: Duration| d.as_secs_f64() / entries as f64;
+        rows.push((
+            entries,
+            each(checked),
+            each(compared),
+            peak as f64 / entries as f64,
+            peak,
+        ));
+    }
+    let base = rows[1];
+    for (entries, checked, compared, bytes, peak) in &rows {
+        println!(
+            "{entries:>7}  {:>11.2}  {:>10.2}  {:>16.2}   peak {:.2} MiB",
+            checked / base.1,
+            compared / base.2,
+            bytes / base.3,
+            *peak as f64 / (1 << 20) as f64
+        );
+    }
+    let (_, checked, compared, bytes, _) = rows[2];
+    for (what, ratio) in [
+        ("check", checked / base.1),
+        ("diff", compared / base.2),
+        ("memory", bytes / base.3),
+    ] {
+        assert!(
+            ratio <= 1.5,
+            "{what}: an entry of 10,000 costs {ratio:.2} times one of 1,000"
+        );
+    }
+}
--- a/crates/config/src/format.rs
+++ b/crates/config/src/format.rs
@@ -176,7 +176,17 @@
         (_, Piece::Group(Token::OpenDict, _)) => true,
         // Behind a value a bracket calls or asks it; behind anything else it begins one.
         (
-            Piece::Word(Token::Name | Token::Load | Token::Text | Token::Number, _) | Piece::Group(..),
+            Piece::Word(
+                Token::Name
+                | Token::Load
+                | Token::Text
+                | Token::Number
+                | Token::True
+                | Token::False
+                | Token::None,
+                _,
+            )
+            | Piece::Group(..),
             Piece::Group(..),
         ) => false,
         _ => true,
@@ -298,9 +308,14 @@
 fn put_broken(out: &mut String, open: Token, pieces: &[Piece], indent: usize) {
     let (start, end) = brackets(open);
     let comprehends = pieces.iter().any(|p| matches!(p, Piece::Word(Token::For, _)));
-    let is_list = pieces.iter().any(|p| matches!(p, Piece::Word(Token::Comma, _)));
-    let takes_comma = !comprehends
-        && (open != Token::Open || is_list || out.ends_with(|c: char| c.is_alphanumeric() || c == '_'));
+    // Right behind a value a bracket calls or asks it; only calls and lists may end in a comma.
+    let behind = |c: char| c.is_alphanumeric() || "_)]}\"%".contains(c);
+    let takes_comma = match open {
+        _ if comprehends => false,
+        Token::Open => out.ends_with(behind),
+        Token::OpenList => !out.ends_with(behind),
+        _ => true,
+    };
     let inner = indent + INDENT;
     let pad = " ".repeat(inner);
     out.push(start);
@@ -355,7 +370,7 @@
                 }
                 out.push(',');
             }
-            Piece::Word(Token::For | Token::If, _) if comprehends && !item == 0 && clause_at(pieces, at) => {
+            Piece::Word(Token::For | Token::If, _) if comprehends && item > 0 && clause_at(pieces, at) => {
                 put_item(out, item, pieces, at, &pad, inner);
                 item = 1;
             }
@@ -363,7 +378,7 @@
         }
         at += 1;
     }
-    if !item == 0 {
+    if item > 0 {
         put_item(out, item, pieces, at, &pad, inner);
         if takes_comma {
             out.push(',');
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod shelf;
 pub mod store;
 pub mod syntax;
+pub mod trial;
 pub mod unit;
 pub mod value;
--- a/crates/config/src/meaning.rs
+++ b/crates/config/src/meaning.rs
@@ -7,13 +7,15 @@
 use crate::value::Value;
 use serde_json::{Map, Value as Json};
 use sha2::{Digest, Sha256};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// The amounts of one section or entry, by row.
 type Amounts = Vec<Option<Quantity>>;
 
 /// Entries of a section; the one key of a section without keys is empty.
-type Entries = BTreeMap<String, Amounts>;
+type Entries = BTreeMap<Arc<str>, Amounts>;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Meaning {
@@ -35,7 +37,7 @@
         let first = |(section, bounds): (&crate::registry::Section, &Vec<crate::registry::Bounds>)| {
             let amounts = bounds.iter().map(|b| b.default).collect();
             match section.key {
-                None => Entries::from([(String::new(), amounts)]),
+                None => Entries::from([(Arc::from(""), amounts)]),
                 Some(_) => Entries::new(),
             }
         };
@@ -48,11 +50,11 @@
     pub fn of(registry: &Registry, stated: &[Stated], report: &mut impl FnMut(Report)) -> (Meaning, Places) {
         let mut meaning = Meaning::default_of(registry);
         let mut places = Places::new();
-        let mut keys: BTreeMap<(usize, String), Place> = BTreeMap::new();
+        let mut keys: BTreeMap<(usize, Arc<str>), Place> = BTreeMap::new();
         for one in stated {
             let section = &registry.sections[one.section];
             let key = match &one.key {
-                None => String::new(),
+                None => Arc::from(""),
                 Some((key, at)) => {
                     if key.is_empty() || key.len() > LONGEST_KEY || key.chars().any(char::is_control) {
                         let message =
@@ -60,7 +62,8 @@
                         report(Report::error(*at, message));
                         continue;
                     }
-                    if let Some(before) = keys.insert((one.section, key.to_string()), *at) {
+                    let own: Arc<str> = Arc::from(&**key);
+                    if let Some(before) = keys.insert((one.section, own.clone()), *at) {
                         let message = format!("{}({key:?}) is stated a second time", section.name);
                         report(Report::error(*at, message).beside(before, "first stated here"));
                         continue;
@@ -69,7 +72,7 @@
                         report(Report::error(*at, format!("more than {MOST_ENTRIES} entries")));
                         return (meaning, places);
                     }
-                    key.to_string()
+                    own
                 }
             };
             let first = || registry.bounds[one.section].iter().map(|b| b.default).collect();
@@ -121,7 +124,7 @@
     ) -> impl Iterator<Item = (&str, &[Option<Quantity>])> {
         let at = registry.sections.iter().position(|s| s.name == section);
         let entries = at.into_iter().flat_map(|s| &self.sections[s]);
-        entries.map(|(key, amounts)| (key.as_str(), amounts.as_slice()))
+        entries.map(|(key, amounts)| (&**key, amounts.as_slice()))
     }
 
     /// All settings with their amounts, in the order of the registry and of their keys.
@@ -149,7 +152,7 @@
                 |amounts: &Amounts| Json::Object(section.rows.iter().zip(amounts).map(row).collect());
             let value = match section.key {
                 None => entries.get("").map_or(Json::Null, object),
-                Some(_) => Json::Object(entries.iter().map(|(k, a)| (k.clone(), object(a))).collect()),
+                Some(_) => Json::Object(entries.iter().map(|(k, a)| (k.to_string(), object(a))).collect()),
             };
             all.insert(section.name.to_owned(), value);
         }
@@ -170,22 +173,21 @@
                 continue;
             };
             let value = value.as_object().ok_or_else(|| format!("{name} is no object"))?;
-            let entries: Vec<(String, &Map<String, Json>)> = match registry.sections[s].key {
-                None => vec![(String::new(), value)],
+            let entries: Vec<(&str, &Map<String, Json>)> = match registry.sections[s].key {
+                None => vec![("", value)],
                 Some(_) => {
-                    let entry = |(k, v): (&String, &'_ Json)| Some((k.clone(), v.as_object()?.len()));
-                    if value.iter().filter_map(entry).count() != value.len() {
+                    if !value.values().all(Json::is_object) {
                         return Err(format!("{name} has an entry that is no object"));
                     }
                     value
                         .iter()
-                        .filter_map(|(k, v)| Some((k.clone(), v.as_object()?)))
+                        .filter_map(|(k, v)| Some((k.as_str(), v.as_object()?)))
                         .collect()
                 }
             };
             for (key, rows) in entries {
                 let first = || registry.bounds[s].iter().map(|b| b.default).collect();
-                let amounts: &mut Amounts = meaning.sections[s].entry(key).or_insert_with(first);
+                let amounts: &mut Amounts = meaning.sections[s].entry(Arc::from(key)).or_insert_with(first);
                 for (row, value) in rows {
                     let Some(r) = registry.sections[s]
                         .rows
@@ -275,26 +277,39 @@
     pub new: Option<Option<Quantity>>,
 }
 
-/// What changes from one meaning to the next, in the order of the registry.
+/// What changes from one meaning to the next, in the order of the registry and of the keys.
 pub fn changes(registry: &Registry, old: &Meaning, new: &Meaning) -> Vec<Change> {
-    let mut all: BTreeMap<Path, Change> = BTreeMap::new();
-    for (path, amount) in old.all(registry) {
-        let change = Change {
-            path: path.clone(),
-            old: Some(amount),
-            new: None,
-        };
-        all.insert(path, change);
-    }
-    for (path, amount) in new.all(registry) {
-        let change = Change {
-            path: path.clone(),
-            old: None,
-            new: None,
+    let mut all = Vec::new();
+    for (section, (a, b)) in old.sections.iter().zip(&new.sections).enumerate() {
+        let keyed = registry.sections[section].key.is_some();
+        let rows = registry.sections[section].rows.len();
+        let mut differ = |key: &Arc<str>, a: Option<&Amounts>, b: Option<&Amounts>| {
+            for row in 0..rows {
+                let (old, new) = (a.map(|a| a[row]), b.map(|b| b[row]));
+                if old != new {
+                    let key = keyed.then(|| key.clone());
+                    let path = Path { section, key, row };
+                    all.push(Change { path, old, new });
+                }
+            }
         };
-        all.entry(path).or_insert(change).new = Some(amount);
+        // Both are in the order of their keys, so one walk finds what they share.
+        let (mut a, mut b) = (a.iter().peekable(), b.iter().peekable());
+        loop {
+            let order = match (a.peek(), b.peek()) {
+                (Some((x, _)), Some((y, _))) => x.cmp(y),
+                (Some(_), None) => Ordering::Less,
+                (None, Some(_)) => Ordering::Greater,
+                (None, None) => break,
+            };
+            let left = a.next_if(|_| order.is_le());
+            let right = b.next_if(|_| order.is_ge());
+            if let Some((key, _)) = left.or(right) {
+                differ(key, left.map(|(_, v)| v), right.map(|(_, v)| v));
+            }
+        }
     }
-    all.into_values().filter(|c| c.old != c.new).collect()
+    all
 }
 
 impl Change {
--- a/crates/config/src/registry.rs
+++ b/crates/config/src/registry.rs
@@ -4,6 +4,7 @@
 use crate::meaning::Meaning;
 use crate::unit::{Quantity, Unit};
 use std::fmt::Write;
+use std::sync::Arc;
 
 /// When a changed setting is taken over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -115,7 +116,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Path {
     pub section: usize,
-    pub key: Option<String>,
+    pub key: Option<Arc<str>>,
     pub row: usize,
 }
 
--- a/crates/config/src/shelf.rs
+++ b/crates/config/src/shelf.rs
@@ -118,6 +118,9 @@
 /// The generation that a rollback by so many steps goes to. A step is a stored meaning that differs from the one
 /// before: storing the same again is no step.
 pub fn back(newest_first: &[(u64, String)], steps: usize) -> Option<u64> {
+    if steps == 0 {
+        return None;
+    }
     let mut left = steps;
     let mut current = newest_first.first()?.1.as_str();
     for (number, hash) in newest_first {
@@ -125,7 +128,7 @@
             left -= 1;
             current = hash;
         }
-        if left == 0 && steps > 0 {
+        if left == 0 {
             return Some(*number);
         }
     }
--- a/crates/driver/src/program/operators.rs
+++ b/crates/driver/src/program/operators.rs
@@ -188,6 +188,11 @@
     is_watched: bool,
 }
 
+/// What was decided, and what is wrong with a file: each has its own limit of lines, so that a long list of faults
+/// can't keep the one line back that matters.
+pub const DECISIONS: &str = "operators";
+pub const DETAILS: &str = "operators file";
+
 /// How far apart the driver's figures are looked at.
 const SAMPLES: Span = Span::millis(250);
 
@@ -195,7 +200,7 @@
 pub struct Start {
     number: u64,
     pub meaning: Meaning,
-    pub lines: Vec<String>,
+    pub lines: Vec<(&'static str, String)>,
 }
 
 /// Finds what to start with: the file's meaning, else the one kept last.
@@ -210,11 +215,12 @@
     let mut lines = Vec::new();
     for one in &stored {
         if let Err(damage) = one.canonical {
-            lines.push(format!(
+            let line = format!(
                 "stored generation {} {}, passed over",
                 one.number,
                 damage.reason()
-            ));
+            );
+            lines.push((DETAILS, line));
         }
     }
     let newest = stored.first().map_or(0, |s| s.number);
@@ -246,16 +252,14 @@
         let why = "the operators' file is faulty, and no former generation is kept";
         return Err(format!("{why}\n{}", errors.trim_end()));
     };
-    lines.extend(errors.lines().map(str::to_owned));
+    lines.extend(errors.lines().map(|l| (DETAILS, l.to_owned())));
     if !left_out.is_empty() {
-        lines.push(format!(
-            "generation {number} states what is not known here: {}",
-            left_out.join(", ")
-        ));
+        let all = left_out.join(", ");
+        let line = format!("generation {number} states what is not known here: {all}");
+        lines.push((DETAILS, line));
     }
-    lines.push(format!(
-        "THE FILE IS FAULTY: serving on generation {number}, the one kept last"
-    ));
+    let line = format!("THE FILE IS FAULTY: serving on generation {number}, the one kept last");
+    lines.push((DECISIONS, line));
     Ok(Start {
         number,
         meaning,
@@ -326,8 +330,11 @@
                         self.changed(machine);
                     }
                     for line in text.lines() {
-                        log!(owner.observer, now, "operators", "{line}");
+                        log!(owner.observer, now, DETAILS, "{line}");
                     }
+                    // What was counted until now was counted before the change, also what no sample holds yet.
+                    self.look(owner, phases, now);
+                    self.sample(owner, phases, now);
                     let effects = self.generations.read_ended(now, ticket, outcome);
                     self.carry_out(owner, phases, now, effects);
                 }
@@ -338,7 +345,7 @@
                     log!(
                         owner.observer,
                         now,
-                        "operators",
+                        DECISIONS,
                         "generation {number} is not stored: {fault}"
                     );
                 }
@@ -352,15 +359,17 @@
 
     /// Samples are a while apart, and hold the fullest of the while: a full moment between two counts.
     fn look(&mut self, owner: &mut Owner<Log>, phases: &mut Phases, now: Point) {
-        let clients = owner.open_clients() as u64;
-        let connections = owner.figures.open_member_connections;
-        let fill = [clients, clients + connections, owner.memory_taken() as u64];
+        let fill = fill(owner);
         for (fullest, fill) in self.fullest.iter_mut().zip(fill) {
             *fullest = (*fullest).max(fill);
         }
-        if now - self.sampled < SAMPLES {
-            return;
+        if now - self.sampled >= SAMPLES {
+            self.sample(owner, phases, now);
         }
+    }
+
+    fn sample(&mut self, owner: &mut Owner<Log>, phases: &mut Phases, now: Point) {
+        let fill = fill(owner);
         self.sampled = now;
         let f = &owner.figures;
         let sample = Sample {
@@ -401,12 +410,19 @@
                 Effect::Keep(Generation { number, meaning, .. }) => {
                     self.store(number, meaning.canonical(registry()), kept(&meaning));
                 }
-                Effect::Tell(told) => log!(owner.observer, now, "operators", "{}", written(&told)),
+                Effect::Tell(told) => log!(owner.observer, now, DECISIONS, "{}", written(&told)),
             }
         }
     }
 }
 
+/// How full the driver is, by want.
+fn fill(owner: &Owner<Log>) -> [u64; WANTS.len()] {
+    let clients = owner.open_clients() as u64;
+    let connections = owner.figures.open_member_connections;
+    [clients, clients + connections, owner.memory_taken() as u64]
+}
+
 fn kept(meaning: &Meaning) -> usize {
     meaning.amount(registry(), "activation", "kept").max(1) as usize
 }
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -65,8 +65,8 @@
     owner.attach(listening);
     let mut phases = Phases::default();
     operators::take_over(&mut owner, &mut phases, &force);
-    for line in &start.lines {
-        log!(owner.observer, clock.now(), "operators", "{line}");
+    for (topic, line) in &start.lines {
+        log!(owner.observer, clock.now(), topic, "{line}");
     }
     let mut operators = Operators::new(given, start, to_operators)?;
     let mut told_to_leave = false;
--- a/crates/driver/tests/process.rs
+++ b/crates/driver/tests/process.rs
@@ -1,9 +1,13 @@
 //! Phases, log and configuration, given a clock and values.
 
 use asterlatch::time::{Point, Span};
+use asterlatch_config::meaning::Meaning;
 use asterlatch_driver::program::config;
 use asterlatch_driver::program::log::Log;
-use asterlatch_driver::program::phases::{Phase, Phases, Seen};
+use asterlatch_driver::program::operators::{registry, InForce};
+use asterlatch_driver::program::phases::{Phase, Phases, Seen, Times};
+use asterlatch_driver::routing::limits::{Limits, Part};
+use asterlatch_driver::transport::Stacks;
 
 fn at(ms: u64) -> Point {
     Point(0) + Span::millis(ms)
@@ -32,10 +36,19 @@
             (10_499, true, true, 1, 0, Phase::Draining { since: at(450) }),
             (10_500, true, true, 1, 0, Phase::Stopped),
         ]),
+        ("a statement is open for longer, the drain is cut", vec![
+            (0, true, false, 1, 1, Phase::Leaving { since: at(0) }),
+            (450, true, false, 1, 1, Phase::Draining { since: at(450) }),
+            (3449, true, true, 1, 1, Phase::Draining { since: at(450) }),
+            (3450, true, true, 1, 1, Phase::Stopped),
+        ]),
         ("told to leave before it serves", vec![(0, true, true, 0, 0, Phase::Leaving { since: at(0) })]),
     ];
     for (name, steps) in cases {
         let (mut phases, mut phase) = (Phases::default(), Phase::Starting);
+        if name.ends_with("drain is cut") {
+            phases.times.longest_drain = Span::millis(3000);
+        }
         for (ms, told_to_leave, listener_closed, open_clients, open_statements, expected) in steps {
             let listening = true;
             let seen = Seen {
@@ -95,3 +108,29 @@
         assert_eq!(read, expected, "{text}");
     }
 }
+
+/// Without a file, and with an empty one, the service acts by its own figures.
+#[test]
+fn the_settings_defaults_are_the_figures_of_the_service() {
+    let force = InForce::of(&Meaning::default_of(registry()));
+    assert_eq!(force.limits, Limits::default());
+    assert_eq!((force.times, force.stacks), (Times::default(), Stacks::default()));
+    assert_eq!(
+        (force.lines_a_second, force.workloads.len()),
+        (Log::default().lines_a_second, 0)
+    );
+    // Two thirds and a quarter as they were before they could be set, for any machine with less than a million descriptors.
+    let limits = Limits::default();
+    for n in 0..300_000 {
+        assert_eq!(limits.clients.of(n), n * 2 / 3, "{n}");
+        assert_eq!(limits.clients_memory.of(n * 4096), n * 4096 / 4, "{n}");
+    }
+    assert_eq!(
+        (
+            Part(850_000).ratio(),
+            Part(400_000).ratio(),
+            Part(250_000).ratio()
+        ),
+        (0.85, 0.4, 0.25)
+    );
+}
