Module: what was learned can be written out, and another process goes on from it

A new version of the program starts cold today: no positions, roles, shares or cold debts. The module's memory now has a written form (serde; statements and what runs for them left out), and Driver::resume goes on from it. A first try looked at every member anew and planned earlier wake-ups than the former process; only members with something open are looked at now. Decisions are unchanged.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,6 +7,7 @@
 use crate::interface::*;
 use crate::state::*;
 use crate::time::{Point, Span};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A member owing answers for this long is overdue (the design's start); less where it owes many.
@@ -69,8 +70,10 @@
     Driver::ask_for_list,
 ];
 
-#[derive(Default)]
+/// Written out it is what was learned: statements and what runs for them stay with the process that took them.
+#[derive(Default, Serialize, Deserialize)]
 pub struct Driver {
+    #[serde(skip)]
     settings: Settings,
     now: Point,
     chance: Chance,
@@ -80,13 +83,18 @@
     first_left: Vec<Span>,
     members: Members,
     groups: Groups,
+    #[serde(skip)]
     stmts: BTreeMap<u32, Stmt>,
+    #[serde(skip)]
     running: BTreeMap<(u32, u8), Running>,
+    #[serde(skip)]
     due: Agenda<u32>,
     /// When each member is to be looked at next, and those for which that may have come nearer.
     watch: Agenda<usize>,
+    #[serde(skip)]
     touched: Vec<usize>,
     /// Groups in which a waiting statement may find a place now.
+    #[serde(skip)]
     changed: BTreeSet<usize>,
     sessions: Sessions,
     quotas: Quotas,
@@ -97,8 +105,10 @@
     /// Smoothed part of the SLO time that setting up a connection costs.
     setup: f64,
     ask_at: Option<Point>,
+    #[serde(skip)]
     planned: Option<Point>,
     stalled_at: Point,
+    #[serde(skip)]
     results: Results,
 }
 
@@ -124,6 +134,28 @@
         }
     }
 
+    /// Goes on from what another process has learned, whose clock this one shares. Not inherited is the belief that a
+    /// member owes something: that is the other's. Its idle connections stand only if they came along.
+    pub fn resume(learned: Driver, settings: &Settings, idle_came: bool, now: Point) -> Driver {
+        let settings = settings.clone();
+        let mut d = Driver {
+            settings,
+            now,
+            ..learned
+        };
+        let f = &mut d.members;
+        for m in 0..f.id.len() {
+            let idle = f.connections[m].saturating_sub(f.open[m]);
+            f.connections[m] = if idle_came { idle } else { 0 };
+            // Only what changes is looked at anew: the two would else decide apart.
+            if std::mem::take(&mut f.open[m]) > 0 {
+                f.owes_since[m] = now;
+                d.touched.push(m);
+            }
+        }
+        d
+    }
+
     pub fn statement_taken(&mut self, now: Point, s: &Statement) -> Results {
         self.hear(now);
         let group = self.groups.at(s.group);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,7 @@
 //! What a host tells the decisions and what it gets back. No decision is taken here.
 
 use crate::time::{Point, Span};
+use serde::{Deserialize, Serialize};
 
 /// How far a workload's statements may be executed again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -131,7 +132,7 @@
     pub sighting: Sighting,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     #[default]
     Ready,
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::Standing;
 use crate::time::{Point, Span};
+use serde::{Deserialize, Serialize};
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -79,20 +80,22 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Group {
     pub members: Vec<usize>,
     pub primary: Option<usize>,
     /// The newest position at which a member spoke as primary.
     pub primary_at: Point,
     pub turn: usize,
+    /// Statements stay with the process that took them.
+    #[serde(skip)]
     waiting: BTreeMap<usize, BTreeSet<Rank>>,
     pub wants_primary: bool,
     pub lacking_until: Point,
 }
 
 /// Groups under a dense index, in the order in which they were first named.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Groups {
     index: BTreeMap<u32, usize>,
     pub all: Vec<Group>,
@@ -121,7 +124,8 @@
 }
 
 /// What is to be looked at when, in order of time.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
+#[serde(bound = "K: Ord + Serialize + serde::de::DeserializeOwned")]
 pub struct Agenda<K>(BTreeSet<(Point, K)>);
 
 impl<K: Ord + Copy> Agenda<K> {
@@ -180,7 +184,7 @@
 }
 
 /// Work within the last while, as of the last addition.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Window {
     pub entries: VecDeque<(Point, Span)>,
     pub total: Span,
@@ -198,7 +202,7 @@
 }
 
 /// What is left of each tenant's quota of statements; a second's worth may be saved up.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Quotas(BTreeMap<usize, (f64, Point)>);
 
 impl Quotas {
@@ -216,7 +220,7 @@
 /// Parallel arrays under a small dense index, each with what a new member starts from.
 macro_rules! columns {
     ($name:ident, $($column:ident: $kind:ty = $first:expr;)*) => {
-        #[derive(Default)]
+        #[derive(Default, Serialize, Deserialize)]
         pub struct $name {
             pub index: BTreeMap<u32, usize>,
             /// Places of members that are gone, for the next ones.
@@ -282,7 +286,7 @@
 }
 
 /// Commit positions of sessions, and one that covers all those forgotten.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Sessions {
     commits: BTreeMap<u64, Point>,
     forgotten: Point,
@@ -305,7 +309,7 @@
 }
 
 /// Draws between 0 and 1 from the instance's seed and a counter.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Chance {
     pub seed: u64,
     pub drawn: u64,
--- a/src/time.rs
+++ b/src/time.rs
@@ -1,11 +1,12 @@
 //! Points in time and spans between them, kept apart by type. Both count microseconds.
 
+use serde::{Deserialize, Serialize};
 use std::ops::{Add, Mul, Sub};
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Point(pub u64);
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Span(pub u64);
 
 impl Span {
--- /dev/null
+++ b/tests/resume.rs
@@ -0,0 +1,278 @@
+//! A driver that goes on from what another has learned.
+
+mod common;
+use asterlatch::choice::Driver;
+use asterlatch::interface::*;
+use asterlatch::time::{Point, Span};
+use common::{ms, settings, with};
+use std::collections::BTreeMap;
+
+/// Makes inputs from what drivers do, and gives each to all of them; they must do the same.
+struct World {
+    drivers: Vec<Driver>,
+    chance: fastrand::Rng,
+    now: Point,
+    next: u32,
+    /// Executions that are out: statement and number, member, when they went out.
+    out: Vec<(u32, u8, u32, Point)>,
+    open: BTreeMap<u32, u8>,
+    probes: Vec<u32>,
+    draining: Option<u32>,
+    inputs: usize,
+}
+
+const MEMBERS: u32 = 12;
+const ENDINGS: [Ending; 9] = [
+    Ending::Completed,
+    Ending::Completed,
+    Ending::Completed,
+    Ending::Errored,
+    Ending::TimedOut,
+    Ending::TurnedAway,
+    Ending::Missed,
+    Ending::NoConnection,
+    Ending::ConnectionLost,
+];
+
+fn entry(id: u32, standing: Standing, started: Option<Point>) -> MemberEntry {
+    MemberEntry {
+        id,
+        group: id % 3,
+        zone: (id % 2) as u16,
+        size: 1.0,
+        named_primary: id < 3,
+        standing,
+        started,
+    }
+}
+
+impl World {
+    fn new(settings: &Settings, seed: u64) -> World {
+        let now = Point(1_000_000_000);
+        let mut world = World {
+            drivers: vec![Driver::new(settings, seed, now)],
+            chance: fastrand::Rng::with_seed(seed),
+            now,
+            next: 0,
+            out: Vec::new(),
+            open: BTreeMap::new(),
+            probes: Vec::new(),
+            draining: None,
+            inputs: 0,
+        };
+        let all: Vec<_> = (0..MEMBERS).map(|id| entry(id, Standing::Ready, None)).collect();
+        world.all(|d, now| d.members_told(now, &all, true));
+        world
+    }
+
+    fn all(&mut self, input: impl Fn(&mut Driver, Point) -> Results) {
+        self.inputs += 1;
+        let now = self.now;
+        let mut results = self.drivers.iter_mut().map(|d| input(d, now));
+        let first = results.next().expect("has a driver");
+        for other in results {
+            assert_eq!(
+                format!("{other:?}"),
+                format!("{first:?}"),
+                "input {} at {now:?}",
+                self.inputs
+            );
+        }
+        for e in &first.executions {
+            let number = self.open.get_mut(&e.stmt).expect("is open");
+            self.out.push((e.stmt, *number, e.member, now));
+            *number += 1;
+        }
+        for answer in &first.answers {
+            let (Answer::Rejected { stmt, .. } | Answer::Aborted { stmt }) = answer;
+            self.open.remove(stmt);
+        }
+        self.probes.extend(&first.probes);
+    }
+
+    fn end(&mut self, at: usize, ending: Ending) {
+        let (stmt, number, member, sent) = self.out.swap_remove(at);
+        let settled = ending == Ending::Completed && self.open.remove(&stmt).is_some();
+        let lag = ms(self.chance.u64(0..400));
+        let sighting = Sighting {
+            position: self.chance.bool().then_some(self.now - lag),
+            is_primary: Some(member < 3),
+        };
+        let sighting = if ending == Ending::Completed {
+            sighting
+        } else {
+            Sighting::default()
+        };
+        let settled = settled || !self.open.contains_key(&stmt);
+        let took = self.now - sent;
+        let end = ExecutionEnd {
+            stmt,
+            number,
+            member,
+            ending,
+            took,
+            settled,
+            sighting,
+        };
+        self.all(|d, now| d.execution_ended(now, &end));
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + Span(self.chance.u64(0..3000));
+        match self.chance.u32(0..100) {
+            0..35 => {
+                self.next += 1;
+                let statement = Statement {
+                    id: self.next,
+                    workload: self.chance.usize(0..5),
+                    group: self.chance.u32(0..3),
+                    session: self.chance.u64(1..50),
+                    repeat: self.chance.u8(0..10) == 0,
+                    left: ms(self.chance.u64(50..2000)),
+                    written_ago: self.chance.bool().then(|| ms(self.chance.u64(0..500))),
+                    ..Statement::default()
+                };
+                self.open.insert(self.next, 0);
+                self.all(|d, now| d.statement_taken(now, &statement));
+            }
+            35..75 if !self.out.is_empty() => {
+                let (at, ending) = (
+                    self.chance.usize(0..self.out.len()),
+                    self.chance.usize(0..ENDINGS.len()),
+                );
+                self.end(at, ENDINGS[ending]);
+            }
+            75..85 if !self.probes.is_empty() => {
+                let member = self.probes.swap_remove(0);
+                let ok = self.chance.u8(0..5) > 0;
+                let position = Some(self.now - ms(self.chance.u64(0..200)));
+                let sighting = Sighting {
+                    position,
+                    is_primary: Some(member < 3),
+                };
+                self.all(|d, now| d.probe_answered(now, member, ok, ms(1), sighting));
+            }
+            85..87 if !self.open.is_empty() => {
+                let at = self.chance.usize(0..self.open.len());
+                let stmt = *self.open.keys().nth(at).expect("is there");
+                self.open.remove(&stmt);
+                self.all(|d, now| d.statement_withdrawn(now, stmt));
+            }
+            87 => {
+                // One at a time drains and comes back cold.
+                let told = match self.draining.take() {
+                    Some(id) => entry(id, Standing::Ready, Some(self.now)),
+                    None => {
+                        let id = self.chance.u32(3..MEMBERS);
+                        self.draining = Some(id);
+                        entry(id, Standing::Draining, None)
+                    }
+                };
+                self.all(|d, now| d.members_told(now, &[told], false));
+            }
+            _ => self.all(|d, now| d.time_reached(now)),
+        }
+    }
+
+    /// Until nothing is open, so that all that was learned is in what is written out.
+    fn quiet(&mut self) {
+        while !self.out.is_empty() || !self.open.is_empty() {
+            self.now = self.now + ms(5);
+            match self.out.is_empty() {
+                true => self.all(|d, now| d.time_reached(now)),
+                false => self.end(0, Ending::Completed),
+            }
+        }
+    }
+}
+
+#[test]
+fn after_a_snapshot_both_decide_the_same() {
+    let plain = settings();
+    let fleet = with(|s| {
+        s.driver_count = 14;
+        s.members_check_reads = false;
+        s.session_age_carried = false;
+    });
+    let asks = with(|s| {
+        s.list_on_request = true;
+        s.tenant_quotas = vec![50.0];
+        s.over_quota_share = 0.3;
+    });
+    for (n, settings) in [plain, fleet, asks].into_iter().enumerate() {
+        let mut world = World::new(&settings, 11 + n as u64);
+        (0..20_000).for_each(|_| world.step());
+        world.quiet();
+        world.probes.clear();
+        let bytes = postcard::to_stdvec(&world.drivers[0]).expect("can be written");
+        let learned: Driver = postcard::from_bytes(&bytes).expect("can be read");
+        assert_eq!(
+            postcard::to_stdvec(&learned).expect("can be written"),
+            bytes,
+            "nothing is lost on the way"
+        );
+        world
+            .drivers
+            .push(Driver::resume(learned, &settings, true, world.now));
+        // The first look of the one that goes on must change nothing either: both are told the time.
+        world.all(|d, now| d.time_reached(now));
+        let from = world.inputs;
+        while world.inputs < from + 100_000 {
+            world.step();
+        }
+    }
+}
+
+/// A driver that goes on with statements of the other still out owes nobody their answers, and believes nobody late.
+#[test]
+fn beliefs_about_the_others_statements_are_not_inherited() {
+    let settings = settings();
+    let mut world = World::new(&settings, 5);
+    (0..5000).for_each(|_| world.step());
+    assert!(!world.out.is_empty() && !world.open.is_empty());
+    let bytes = postcard::to_stdvec(&world.drivers[0]).expect("can be written");
+    let learned: Driver = postcard::from_bytes(&bytes).expect("can be read");
+    let later = world.now + ms(60_000);
+    let mut next = Driver::resume(learned, &settings, false, later);
+    let results = next.time_reached(later);
+    assert!(results.answers.is_empty() && results.executions.is_empty() && results.cancellations.is_empty());
+    // What ends for the other is none of its business.
+    let (stmt, number, member, _) = world.out[0];
+    let (ending, took, settled, sighting) = (Ending::TimedOut, ms(1), true, Sighting::default());
+    let end = ExecutionEnd {
+        stmt,
+        number,
+        member,
+        ending,
+        took,
+        settled,
+        sighting,
+    };
+    assert!(next.execution_ended(later, &end).executions.is_empty());
+    // It knows members, roles and positions: a write goes to the primary at once.
+    let statement = Statement {
+        id: 1,
+        workload: 2,
+        group: 1,
+        left: ms(1000),
+        ..Statement::default()
+    };
+    let results = next.statement_taken(later, &statement);
+    assert_eq!(
+        results.executions.iter().map(|e| e.member).collect::<Vec<_>>(),
+        [1]
+    );
+}
+
+#[test]
+fn bytes_of_any_kind_make_no_driver_or_a_whole_one() {
+    let mut world = World::new(&settings(), 3);
+    (0..500).for_each(|_| world.step());
+    let bytes = postcard::to_stdvec(&world.drivers[0]).expect("can be written");
+    for cut in 0..bytes.len().min(400) {
+        assert!(
+            postcard::from_bytes::<Driver>(&bytes[..cut]).is_err(),
+            "cut at {cut}"
+        );
+    }
+}
