Takeover: both sides as rules without I/O, checked in every order of steps and deaths

Upgrading without loss needs one owner of the listener at any time, whatever dies when. crates/takeover holds the two state machines, framed messages with a hash, and the wire with descriptors. Four seeded mistakes are each found.

--- /dev/null
+++ b/crates/takeover/src/lib.rs
@@ -0,0 +1,23 @@
+//! Hands a running service over to a new process without a gap.
+//!
+//! `old` and `new` are the two sides, each an ordered list of rules without I/O: what came in, what the time is, and
+//! what to do. `message` is what they say to one another, `wire` carries it, with descriptors, over a Unix socket.
+//!
+//! | old | new | who accepts clients |
+//! | --- | --- | --- |
+//! | Serving | | old |
+//! | Offered: the new process was started | Started: says hello | old |
+//! | Sent: state and listener are on their way | Loaded: says that it is ready | old |
+//! | Committed: accepts no more, says so | | neither, for as long as a message takes |
+//! | Standby: keeps the listener | Probation: accepts | new |
+//! | Fencing: the new one is killed, its end awaited | | neither, until it is gone |
+//! | Done | Owner | new |
+//!
+//! The old one accepts again only once the new one's end is certain; the new one accepts only once it was told that the
+//! old one accepts no more. The socket tells of a death only after what was sent before it, so a commit that was sent is
+//! heard even if its sender is gone by then.
+
+pub mod message;
+pub mod new;
+pub mod old;
+pub mod wire;
--- /dev/null
+++ b/crates/takeover/src/message.rs
@@ -0,0 +1,69 @@
+//! What the two sides say, as frames: kind, length and hash before the body, so that a cut or changed one is known.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Of the protocol. Another one is refused before anything moves.
+pub const VERSION: u32 = 1;
+/// The longest frame: some ten thousand members' state.
+pub const LONGEST: usize = 32 * 1024 * 1024;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Message {
+    /// New: it runs, and speaks this version.
+    Hello { version: u32 },
+    /// Old: what was learned, with the listener beside it.
+    State(Vec<u8>),
+    /// New: it could read everything and could serve.
+    Ready,
+    /// New: it could not, and why.
+    Unfit(String),
+    /// Old: it accepts no more.
+    Commit,
+    /// New: it accepts.
+    Taken,
+    /// New: it still serves.
+    Beat,
+    /// New: its probation is over.
+    Proven,
+}
+
+const HEAD: usize = 4 + 32;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    TooLong,
+    OtherHash,
+    Unreadable,
+}
+
+pub fn frame(message: &Message) -> Result<Vec<u8>, Fault> {
+    let body = postcard::to_stdvec(message).map_err(|_| Fault::Unreadable)?;
+    if body.len() > LONGEST {
+        return Err(Fault::TooLong);
+    }
+    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+    bytes.extend(Sha256::digest(&body));
+    bytes.extend(body);
+    Ok(bytes)
+}
+
+/// The first message of `input`, which is taken from it; nothing where more bytes are needed.
+pub fn next(input: &mut Vec<u8>) -> Result<Option<Message>, Fault> {
+    let Some(head) = input.get(..HEAD) else {
+        return Ok(None);
+    };
+    let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    if length > LONGEST {
+        return Err(Fault::TooLong);
+    }
+    let Some(body) = input.get(HEAD..HEAD + length) else {
+        return Ok(None);
+    };
+    if Sha256::digest(body).as_slice() != &head[4..] {
+        return Err(Fault::OtherHash);
+    }
+    let message = postcard::from_bytes(body).map_err(|_| Fault::Unreadable)?;
+    input.drain(..HEAD + length);
+    Ok(Some(message))
+}
--- /dev/null
+++ b/crates/takeover/src/old.rs
@@ -0,0 +1,301 @@
+//! The side of the process that serves now. Goes on serving whatever becomes of the new one.
+
+use crate::message::{Message, VERSION};
+use asterlatch::time::{Point, Span};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Phase {
+    Serving,
+    /// The new process was started and is to say hello.
+    Offered,
+    /// It has state and listener, and is to be ready.
+    Sent,
+    /// Nothing is accepted here any more; the new one is to say that it accepts.
+    Committed,
+    /// The new one serves on probation.
+    Standby,
+    /// The new one is to be gone before anything else; whether clients are accepted again then.
+    Fencing {
+        resumes: bool,
+    },
+    /// The new one has the service for good.
+    Done,
+}
+
+/// How long each phase may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Times {
+    pub hello: Span,
+    pub ready: Span,
+    pub taken: Span,
+    /// Between two signs of life on probation.
+    pub beat: Span,
+}
+
+impl Default for Times {
+    fn default() -> Times {
+        Times {
+            hello: Span::millis(10_000),
+            ready: Span::millis(10_000),
+            // The gap in which nobody accepts is no longer than this and a kill.
+            taken: Span::millis(1000),
+            beat: Span::millis(5000),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Input {
+    /// An upgrade is asked for.
+    Ask,
+    /// The new process could not be started.
+    NotStarted(String),
+    Heard(Message),
+    /// What came can't be read.
+    Garbled,
+    /// The new process is gone, for certain.
+    Ended,
+    /// This process is told to leave.
+    Leave,
+    Time,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Effect {
+    /// Start the new process.
+    Start,
+    /// Write out what was learned and send it with the listener.
+    SendState,
+    Say(Message),
+    /// Accept no more clients; who is here stays.
+    StopAccepting,
+    Accept,
+    /// Let clients go between two statements: the new one takes them.
+    SendAway,
+    /// Kill the new process, and tell when it is gone.
+    Kill,
+    /// The service is the new one's: leave once all is answered.
+    Leave,
+    Tell(Told),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Told {
+    Asked,
+    /// One is under way.
+    Busy,
+    Committed,
+    Done,
+    Failed(String),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Old {
+    pub phase: Phase,
+    times: Times,
+    until: Point,
+    now: Point,
+    input: Option<Input>,
+    /// This process is to leave once no new one is in its way.
+    leaving: bool,
+}
+
+type Rule = fn(&mut Old) -> Option<Vec<Effect>>;
+
+/// In this order; each takes the input where it is its own.
+const RULES: [Rule; 11] = [
+    Old::refuse_a_second,
+    Old::start,
+    Old::leave,
+    Old::send_state,
+    Old::commit,
+    Old::taken,
+    Old::proven,
+    Old::beat,
+    Old::gone,
+    Old::fence,
+    Old::pass_over,
+];
+
+impl Old {
+    pub fn new(times: Times) -> Old {
+        Old {
+            phase: Phase::Serving,
+            times,
+            until: Point(u64::MAX),
+            now: Point(0),
+            input: None,
+            leaving: false,
+        }
+    }
+
+    /// Whether this process accepts clients.
+    pub fn accepts(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Serving | Phase::Offered | Phase::Sent | Phase::Fencing { resumes: false }
+        )
+    }
+
+    pub fn next_at(&self) -> Point {
+        self.until
+    }
+
+    pub fn take(&mut self, now: Point, input: Input) -> Vec<Effect> {
+        (self.now, self.input) = (now, Some(input));
+        let mut effects = Vec::new();
+        while let Some(more) = RULES.iter().find_map(|rule| rule(self)) {
+            effects.extend(more);
+        }
+        effects
+    }
+
+    /// Counts all times from now on: what a checker of the protocol tells states apart by must not grow with the clock.
+    pub fn rebase(&mut self) {
+        if self.until < Point(u64::MAX) {
+            self.until = Point(0) + (self.until - self.now);
+        }
+        self.now = Point(0);
+    }
+
+    fn go(&mut self, phase: Phase, within: Option<Span>) {
+        self.phase = phase;
+        self.until = within.map_or(Point(u64::MAX), |w| self.now + w);
+        self.input = None;
+    }
+
+    fn is(&self, phase: Phase, input: &Input) -> bool {
+        self.phase == phase && self.input.as_ref() == Some(input)
+    }
+
+    fn refuse_a_second(&mut self) -> Option<Vec<Effect>> {
+        if self.input != Some(Input::Ask) || (self.phase == Phase::Serving && !self.leaving) {
+            return None;
+        }
+        self.input = None;
+        Some(vec![Effect::Tell(Told::Busy)])
+    }
+
+    fn start(&mut self) -> Option<Vec<Effect>> {
+        if !self.is(Phase::Serving, &Input::Ask) {
+            return None;
+        }
+        self.go(Phase::Offered, Some(self.times.hello));
+        Some(vec![Effect::Start, Effect::Tell(Told::Asked)])
+    }
+
+    /// Before the commit the new one is withdrawn, for this process is told to end the service; behind it the service
+    /// is the new one's, and this process leaves without it.
+    fn leave(&mut self) -> Option<Vec<Effect>> {
+        if self.input != Some(Input::Leave) {
+            return None;
+        }
+        self.input = None;
+        self.leaving = true;
+        match self.phase {
+            Phase::Offered | Phase::Sent => {
+                self.go(Phase::Fencing { resumes: false }, None);
+                let why = "this process was told to leave".to_owned();
+                Some(vec![Effect::Kill, Effect::Tell(Told::Failed(why))])
+            }
+            _ => Some(Vec::new()),
+        }
+    }
+
+    fn send_state(&mut self) -> Option<Vec<Effect>> {
+        if !self.is(Phase::Offered, &Input::Heard(Message::Hello { version: VERSION })) {
+            return None;
+        }
+        self.go(Phase::Sent, Some(self.times.ready));
+        Some(vec![Effect::SendState])
+    }
+
+    /// Accepting stops before the new one hears of it.
+    fn commit(&mut self) -> Option<Vec<Effect>> {
+        if !self.is(Phase::Sent, &Input::Heard(Message::Ready)) {
+            return None;
+        }
+        self.go(Phase::Committed, Some(self.times.taken));
+        let say = Effect::Say(Message::Commit);
+        Some(vec![Effect::StopAccepting, say, Effect::Tell(Told::Committed)])
+    }
+
+    fn taken(&mut self) -> Option<Vec<Effect>> {
+        if !self.is(Phase::Committed, &Input::Heard(Message::Taken)) {
+            return None;
+        }
+        self.go(Phase::Standby, Some(self.times.beat));
+        Some(vec![Effect::SendAway])
+    }
+
+    fn proven(&mut self) -> Option<Vec<Effect>> {
+        if !self.is(Phase::Standby, &Input::Heard(Message::Proven)) {
+            return None;
+        }
+        self.go(Phase::Done, None);
+        Some(vec![Effect::Tell(Told::Done), Effect::Leave])
+    }
+
+    fn beat(&mut self) -> Option<Vec<Effect>> {
+        if !self.is(Phase::Standby, &Input::Heard(Message::Beat)) {
+            return None;
+        }
+        self.go(Phase::Standby, Some(self.times.beat));
+        Some(Vec::new())
+    }
+
+    /// Only an end that is certain lets this process accept again.
+    fn gone(&mut self) -> Option<Vec<Effect>> {
+        let not_started = match self.input.as_ref()? {
+            Input::Ended => None,
+            Input::NotStarted(why) => Some(why.clone()),
+            _ => return None,
+        };
+        let why = not_started.unwrap_or_else(|| "the new process ended".to_owned());
+        let failed = Effect::Tell(Told::Failed(why));
+        let phase = self.phase;
+        let accept = matches!(
+            phase,
+            Phase::Committed | Phase::Standby | Phase::Fencing { resumes: true }
+        );
+        let effects = match phase {
+            // Its end was told of when it was decided on.
+            Phase::Fencing { .. } => Vec::new(),
+            Phase::Serving | Phase::Done => {
+                self.input = None;
+                return Some(Vec::new());
+            }
+            _ => vec![failed],
+        };
+        self.go(Phase::Serving, None);
+        let again = accept.then_some(Effect::Accept);
+        Some(again.into_iter().chain(effects).collect())
+    }
+
+    /// What isn't in time, or makes no sense here: the new one may hang, or be none of ours. It must be gone before
+    /// anything else, for it may accept clients at any moment.
+    fn fence(&mut self) -> Option<Vec<Effect>> {
+        let why = match self.input.as_ref()? {
+            Input::Time if self.now < self.until => return None,
+            Input::Time => format!("the new process was silent while {:?}", self.phase),
+            Input::Garbled => "the new process sent what can't be read".to_owned(),
+            Input::Heard(Message::Unfit(why)) => format!("the new process can't serve: {why}"),
+            Input::Heard(Message::Hello { version }) if *version != VERSION => {
+                format!("the new process speaks version {version} of the takeover, this one {VERSION}")
+            }
+            Input::Heard(other) => format!("the new process said {other:?} while {:?}", self.phase),
+            _ => return None,
+        };
+        let resumes = match self.phase {
+            Phase::Offered | Phase::Sent => false,
+            Phase::Committed | Phase::Standby => true,
+            Phase::Serving | Phase::Fencing { .. } | Phase::Done => return None,
+        };
+        self.go(Phase::Fencing { resumes }, None);
+        Some(vec![Effect::Kill, Effect::Tell(Told::Failed(why))])
+    }
+
+    fn pass_over(&mut self) -> Option<Vec<Effect>> {
+        self.input.take().map(|_| Vec::new())
+    }
+}
--- /dev/null
+++ b/crates/takeover/src/wire.rs
@@ -0,0 +1,97 @@
+//! Messages over a Unix socket, with descriptors beside them.
+
+use crate::message::{frame, next, Fault, Message};
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::{BorrowedFd, OwnedFd};
+use std::os::unix::net::UnixStream;
+
+/// Descriptors that one message may bring.
+const MOST_DESCRIPTORS: usize = 8;
+
+/// Sends a message; descriptors go with its first byte.
+pub fn send(socket: &UnixStream, message: &Message, descriptors: &[BorrowedFd]) -> io::Result<()> {
+    let bytes = frame(message).map_err(|f| io::Error::other(format!("{f:?}")))?;
+    let mut sent = 0;
+    while sent < bytes.len() {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_DESCRIPTORS))];
+        let mut beside = SendAncillaryBuffer::new(&mut space);
+        let fits =
+            sent > 0 || descriptors.is_empty() || beside.push(SendAncillaryMessage::ScmRights(descriptors));
+        if !fits {
+            return Err(io::Error::other("too many descriptors"));
+        }
+        // A peer that is gone is an error here, not a signal.
+        let flags = SendFlags::NOSIGNAL;
+        match sendmsg(socket, &[IoSlice::new(&bytes[sent..])], &mut beside, flags) {
+            Ok(n) => sent += n,
+            Err(rustix::io::Errno::INTR) => {}
+            Err(e) => return Err(e.into()),
+        }
+    }
+    Ok(())
+}
+
+/// What came last.
+#[derive(Debug)]
+pub enum Came {
+    Message(Message, Vec<OwnedFd>),
+    Garbled(Fault),
+    Ended,
+}
+
+/// Reads one message after another from a socket.
+pub struct Reader {
+    socket: UnixStream,
+    input: Vec<u8>,
+    descriptors: Vec<OwnedFd>,
+}
+
+impl Reader {
+    pub fn new(socket: UnixStream) -> Reader {
+        Reader {
+            socket,
+            input: Vec::new(),
+            descriptors: Vec::new(),
+        }
+    }
+
+    /// The next message, waited for. Descriptors that came with or before it are its own: only one kind brings any.
+    pub fn next(&mut self) -> Came {
+        loop {
+            match next(&mut self.input) {
+                Ok(Some(message)) => return Came::Message(message, std::mem::take(&mut self.descriptors)),
+                Err(fault) => return Came::Garbled(fault),
+                Ok(None) => {}
+            }
+            let mut chunk = [0; 64 * 1024];
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_DESCRIPTORS))];
+            let mut beside = RecvAncillaryBuffer::new(&mut space);
+            let mut parts = [IoSliceMut::new(&mut chunk)];
+            let got = match recvmsg(&self.socket, &mut parts, &mut beside, RecvFlags::CMSG_CLOEXEC) {
+                Ok(got) => got.bytes,
+                Err(rustix::io::Errno::INTR) => continue,
+                Err(_) => 0,
+            };
+            for message in beside.drain() {
+                if let RecvAncillaryMessage::ScmRights(all) = message {
+                    self.descriptors.extend(all);
+                }
+            }
+            if got == 0 {
+                return Came::Ended;
+            }
+            self.input.extend(&chunk[..got]);
+        }
+    }
+}
+
+/// Time by the machine's clock that no setting of the wall clock moves, in microseconds: both processes read the same.
+pub fn machine_us() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1000
+}
--- /dev/null
+++ b/crates/takeover/tests/model.rs
@@ -0,0 +1,337 @@
+//! Both sides of the takeover in every order of steps, deaths and timeouts that a small world allows.
+
+use asterlatch::time::{Point, Span};
+use asterlatch_takeover::message::Message;
+use asterlatch_takeover::{new, old};
+use stateright::{Checker, Model, Property};
+
+/// A mistake that the checker must find.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Mistake {
+    /// The commit is said while clients are still accepted.
+    CommitFirst,
+    /// What was killed is taken for gone.
+    ResumeBeforeTheEnd,
+    /// The new one accepts as soon as it is ready.
+    AcceptWhenReady,
+    /// The old one leaves when the new one accepts, without waiting for its probation.
+    LeaveAtOnce,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    old: old::Old,
+    /// Effects decided on and not yet done: a process may die between any two.
+    old_todo: Vec<old::Effect>,
+    old_alive: bool,
+    old_accepts: bool,
+    old_left: bool,
+    new: Option<new::New>,
+    new_todo: Vec<new::Effect>,
+    new_alive: bool,
+    new_accepts: bool,
+    /// A signal on its way.
+    killing: bool,
+    to_old: Vec<Message>,
+    to_new: Vec<Message>,
+    upgrades: u8,
+    deaths: u8,
+    leaves: u8,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    Ask,
+    Leave,
+    OldDoes,
+    NewDoes,
+    OldHears,
+    NewHears,
+    OldLate,
+    NewLate,
+    OldSeesEnd,
+    NewSeesEnd,
+    SignalArrives,
+    OldDies,
+    /// With or without its last words having left.
+    NewDies {
+        last_words: bool,
+    },
+    NewIsUnfit,
+}
+
+struct Takeover {
+    mistake: Option<Mistake>,
+    deaths: u8,
+}
+
+fn old_times() -> old::Times {
+    let one = Span(1);
+    old::Times {
+        hello: one,
+        ready: one,
+        taken: one,
+        beat: one,
+    }
+}
+
+fn new_times() -> new::Times {
+    new::Times {
+        patience: Span(1),
+        beat: Span(1),
+        probation: Span(2),
+    }
+}
+
+impl Takeover {
+    fn old_takes(&self, w: &mut World, late: bool, input: old::Input) {
+        let now = if late { w.old.next_at() } else { Point(0) };
+        let mut effects = w.old.take(now, input);
+        w.old.rebase();
+        if self.mistake == Some(Mistake::CommitFirst) {
+            if let Some(at) = effects.iter().position(|e| *e == old::Effect::StopAccepting) {
+                effects.swap(at, at + 1);
+            }
+        }
+        if self.mistake == Some(Mistake::ResumeBeforeTheEnd) && effects.contains(&old::Effect::Kill) {
+            effects.push(old::Effect::Accept);
+        }
+        if self.mistake == Some(Mistake::LeaveAtOnce) && effects.contains(&old::Effect::SendAway) {
+            effects.push(old::Effect::Leave);
+        }
+        effects.retain(|e| !matches!(e, old::Effect::Tell(_) | old::Effect::SendAway));
+        w.old_todo.extend(effects);
+    }
+
+    fn new_takes(&self, w: &mut World, late: bool, input: new::Input) {
+        let Some(machine) = &mut w.new else { return };
+        let now = if late { machine.next_at() } else { Point(0) };
+        let mut effects = machine.take(now, input);
+        machine.rebase();
+        if self.mistake == Some(Mistake::AcceptWhenReady)
+            && effects.contains(&new::Effect::Say(Message::Ready))
+        {
+            effects.push(new::Effect::Accept);
+        }
+        effects.retain(|e| !matches!(e, new::Effect::Tell(_)));
+        w.new_todo.extend(effects);
+    }
+
+    fn old_does(&self, w: &mut World) {
+        match w.old_todo.remove(0) {
+            old::Effect::Start => {
+                w.new = Some(new::New::new(new_times()));
+                (w.new_alive, w.new_accepts) = (true, false);
+                (w.to_old, w.to_new, w.new_todo) = (Vec::new(), Vec::new(), Vec::new());
+                self.new_takes(w, false, new::Input::Start);
+            }
+            old::Effect::SendState => w.to_new.push(Message::State(Vec::new())),
+            old::Effect::Say(message) => w.to_new.push(message),
+            old::Effect::StopAccepting => w.old_accepts = false,
+            old::Effect::Accept => w.old_accepts = true,
+            old::Effect::Kill => w.killing = true,
+            old::Effect::Leave => {
+                (w.old_alive, w.old_accepts, w.old_left) = (false, false, true);
+                w.to_old.clear();
+            }
+            old::Effect::SendAway | old::Effect::Tell(_) => {}
+        }
+    }
+
+    fn new_does(&self, w: &mut World) {
+        match w.new_todo.remove(0) {
+            new::Effect::Say(message) if w.old_alive => w.to_old.push(message),
+            new::Effect::Say(_) | new::Effect::Tell(_) => {}
+            new::Effect::Load(_) => self.new_takes(w, false, new::Input::Loaded(Ok(()))),
+            new::Effect::Accept => w.new_accepts = true,
+            new::Effect::End(_) => new_dies(w),
+        }
+    }
+}
+
+fn new_dies(w: &mut World) {
+    (w.new_alive, w.new_accepts, w.killing) = (false, false, false);
+    (w.new_todo, w.to_new) = (Vec::new(), Vec::new());
+}
+
+impl Model for Takeover {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        vec![World {
+            old: old::Old::new(old_times()),
+            old_todo: Vec::new(),
+            old_alive: true,
+            old_accepts: true,
+            old_left: false,
+            new: None,
+            new_todo: Vec::new(),
+            new_alive: false,
+            new_accepts: false,
+            killing: false,
+            to_old: Vec::new(),
+            to_new: Vec::new(),
+            upgrades: 0,
+            deaths: 0,
+            leaves: 0,
+        }]
+    }
+
+    fn actions(&self, w: &World, steps: &mut Vec<Step>) {
+        let mut may = |possible: bool, step: Step| steps.extend(possible.then_some(step));
+        let old_idle = w.old_alive && w.old_todo.is_empty();
+        let new_idle = w.new_alive && w.new_todo.is_empty();
+        let new_timer = w.new.as_ref().is_some_and(|n| n.next_at() < Point(u64::MAX));
+        may(old_idle && w.upgrades < 2, Step::Ask);
+        may(old_idle && w.leaves < 1, Step::Leave);
+        may(w.old_alive && !w.old_todo.is_empty(), Step::OldDoes);
+        may(w.new_alive && !w.new_todo.is_empty(), Step::NewDoes);
+        may(old_idle && !w.to_old.is_empty(), Step::OldHears);
+        may(new_idle && !w.to_new.is_empty(), Step::NewHears);
+        may(old_idle && w.old.next_at() < Point(u64::MAX), Step::OldLate);
+        may(new_idle && new_timer, Step::NewLate);
+        let unseen = w.new.is_some() && !w.new_alive && w.to_old.is_empty();
+        may(old_idle && unseen, Step::OldSeesEnd);
+        may(new_idle && !w.old_alive && w.to_new.is_empty(), Step::NewSeesEnd);
+        may(w.killing && w.new_alive, Step::SignalArrives);
+        may(w.old_alive && w.deaths < self.deaths, Step::OldDies);
+        may(
+            w.new_alive && w.deaths < self.deaths,
+            Step::NewDies { last_words: true },
+        );
+        may(
+            w.new_alive && w.deaths < self.deaths && !w.to_old.is_empty(),
+            Step::NewDies { last_words: false },
+        );
+        let loading = new_idle && w.to_new.first().is_some_and(|m| matches!(m, Message::State(_)));
+        may(loading, Step::NewIsUnfit);
+    }
+
+    fn next_state(&self, last: &World, step: Step) -> Option<World> {
+        let mut w = last.clone();
+        match step {
+            Step::Ask => {
+                w.upgrades += 1;
+                self.old_takes(&mut w, false, old::Input::Ask);
+            }
+            Step::Leave => {
+                w.leaves += 1;
+                self.old_takes(&mut w, false, old::Input::Leave);
+            }
+            Step::OldDoes => self.old_does(&mut w),
+            Step::NewDoes => self.new_does(&mut w),
+            Step::OldHears => {
+                let message = w.to_old.remove(0);
+                self.old_takes(&mut w, false, old::Input::Heard(message));
+            }
+            Step::NewHears => {
+                let message = w.to_new.remove(0);
+                self.new_takes(&mut w, false, new::Input::Heard(message));
+            }
+            Step::NewIsUnfit => {
+                w.to_new.remove(0);
+                self.new_takes(&mut w, false, new::Input::Loaded(Err("bad file".to_owned())));
+            }
+            Step::OldLate => self.old_takes(&mut w, true, old::Input::Time),
+            Step::NewLate => self.new_takes(&mut w, true, new::Input::Time),
+            Step::OldSeesEnd => {
+                w.new = None;
+                self.old_takes(&mut w, false, old::Input::Ended);
+            }
+            Step::NewSeesEnd => self.new_takes(&mut w, false, new::Input::Ended),
+            Step::SignalArrives => new_dies(&mut w),
+            Step::OldDies => {
+                w.deaths += 1;
+                (w.old_alive, w.old_accepts) = (false, false);
+                (w.old_todo, w.to_old) = (Vec::new(), Vec::new());
+            }
+            Step::NewDies { last_words } => {
+                w.deaths += 1;
+                if !last_words {
+                    w.to_old.pop();
+                }
+                new_dies(&mut w);
+            }
+        }
+        Some(w)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("never do both accept", |_, w: &World| {
+                !(w.old_accepts && w.new_accepts)
+            }),
+            Property::always("where nobody accepts, something is on its way", |_, w: &World| {
+                let timers = w.old.next_at() < Point(u64::MAX);
+                let old = w.old_alive && (!w.old_todo.is_empty() || timers || !w.to_old.is_empty());
+                let end_unseen = w.old_alive && w.new.is_some() && !w.new_alive;
+                let new = w.new_alive && (!w.new_todo.is_empty() || !w.to_new.is_empty() || w.killing);
+                let alone = w.new_alive && !w.old_alive;
+                let nobody = !w.old_alive && !w.new_alive;
+                w.old_accepts || w.new_accepts || old || end_unseen || new || alone || nobody
+            }),
+            Property::always(
+                "the old one leaves only a service that is the new one's",
+                |_, w: &World| {
+                    let proven = w.new.as_ref().is_some_and(|n| n.phase == new::Phase::Owner);
+                    !w.old_left || proven
+                },
+            ),
+            Property::sometimes("an upgrade is done", |_, w: &World| w.old_left && w.new_accepts),
+            Property::sometimes(
+                "the old one serves again after the new one served",
+                |_, w: &World| {
+                    w.old_accepts && w.deaths > 0 && w.upgrades > 0 && w.old.phase == old::Phase::Serving
+                },
+            ),
+            Property::sometimes("the new one outlives the old", |_, w: &World| {
+                !w.old_alive
+                    && !w.old_left
+                    && w.new_accepts
+                    && w.new.as_ref().is_some_and(|n| n.phase == new::Phase::Owner)
+            }),
+        ]
+    }
+}
+
+#[test]
+fn every_order_of_steps_and_deaths_keeps_one_owner() {
+    let checker = Takeover {
+        mistake: None,
+        deaths: 2,
+    }
+    .checker()
+    .threads(4)
+    .spawn_bfs()
+    .join();
+    println!("{} states", checker.unique_state_count());
+    checker.assert_properties();
+    assert!(
+        checker.unique_state_count() > 1000,
+        "{} states only",
+        checker.unique_state_count()
+    );
+}
+
+#[test]
+fn seeded_mistakes_are_found() {
+    #[rustfmt::skip]
+    let cases = [
+        (Mistake::CommitFirst, "never do both accept"),
+        (Mistake::ResumeBeforeTheEnd, "never do both accept"),
+        (Mistake::AcceptWhenReady, "never do both accept"),
+        (Mistake::LeaveAtOnce, "the old one leaves only a service that is the new one's"),
+    ];
+    for (mistake, property) in cases {
+        let checker = Takeover {
+            mistake: Some(mistake),
+            deaths: 1,
+        }
+        .checker()
+        .threads(4)
+        .spawn_bfs()
+        .join();
+        assert!(checker.discovery(property).is_some(), "{mistake:?} is not found");
+    }
+}
--- a/src/time.rs
+++ b/src/time.rs
@@ -3,10 +3,10 @@
 use serde::{Deserialize, Serialize};
 use std::ops::{Add, Mul, Sub};
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Point(pub u64);
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Span(pub u64);
 
 impl Span {
