A socket opened while another is closed is heard of: its number may have been the other's

A trace of system calls shows that the event loop closes a socket first and takes its number out of its set behind that; a socket that the owner's thread opens in between may get the number and is then taken out in its place.

--- a/crates/driver/src/transport/mod.rs
+++ b/crates/driver/src/transport/mod.rs
@@ -1,7 +1,7 @@
 //! Sockets and clocks. Nothing here knows what the bytes mean: each connection is run for a `Dialogue`.
 
 use std::os::fd::{AsFd, BorrowedFd, RawFd};
-use std::sync::{Once, OnceLock};
+use std::sync::{Mutex, MutexGuard, Once, OnceLock, PoisonError};
 
 /// What coroutines run on.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -34,6 +34,14 @@
     });
 }
 
+/// Held while a socket is closed, and while one is opened and registered on another thread. The event loop closes first
+/// and takes the number out of its set behind that: a new socket that was given the number in between would be taken out
+/// in its place, and never be heard of again.
+pub fn numbers() -> MutexGuard<'static, ()> {
+    static NUMBERS: Mutex<()> = Mutex::new(());
+    NUMBERS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Takes a descriptor out of the event loop before it is closed here while another process holds the same socket. The
 /// loop's own word comes after the close, when the kernel knows the number no more but keeps the registration for as long
 /// as anybody holds the socket: its next event would come for memory that is free. It took a process down in one of some
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -272,7 +272,7 @@
             Ok(stream) => {
                 let input = std::mem::take(&mut self.input);
                 super::forget(self.io.inner());
-                drop(self.io);
+                close(self.io);
                 self.dialogue.surrendered(stream, input, &mut self.out);
                 for notice in self.out.notices.drain(..) {
                     let _ = self.queue.send(notice.into());
@@ -293,7 +293,7 @@
             ..
         } = self;
         // Closed before its end is told, so that no more descriptors are open than the owner counts.
-        drop(io);
+        close(io);
         dialogue.ended(clock.now(), &mut out);
         while let Ok(command) = commands.try_recv() {
             dialogue.told(command, clock.now(), &mut out);
@@ -367,6 +367,11 @@
     Ok(())
 }
 
+fn close(io: CoIo<TcpStream>) {
+    let _alone = super::numbers();
+    drop(io);
+}
+
 /// Opens a connection; whether it comes up is told by its dialogue.
 pub fn dial<D, M>(
     address: SocketAddr,
@@ -378,6 +383,7 @@
     D: Dialogue,
     M: From<D::Notice> + Send + 'static,
 {
+    let _alone = super::numbers();
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
     match socket.connect(&address.into()) {
