Trial of kills at 200 random points of upgrades, on either side

Deaths were tested at chosen points only. make trial-faults kills the old or the new process at random points of an upgrade under load, most of them within the first milliseconds, 200 times: whatever was answered ran once, nothing ran twice, whoever is left serves on.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= $(RELAY_CONFIG)
 
-.PHONY: build test lint run check ci bench-config bench-flood fuzz-config trial-upgrade
+.PHONY: build test lint run check ci bench-config bench-flood fuzz-config trial-upgrade trial-faults
 
 build:
 	cargo build --release --locked
@@ -34,4 +34,8 @@
 
 # Twenty upgrades in a row under load, some of them killed; what clients were told is held against what members ran.
 trial-upgrade:
-	cargo test -p asterlatch-driver --release --locked --test upgrade -- --ignored --nocapture
+	cargo test -p asterlatch-driver --release --locked --test upgrade -- --ignored --nocapture twenty
+
+# SIGKILL on either side at 200 random points of upgrades: make trial-faults SEED=7
+trial-faults:
+	SEED="$(SEED)" cargo test -p asterlatch-driver --release --locked --test upgrade -- --ignored --nocapture kills
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -130,7 +130,7 @@
     let listen = stage.operated.program.listen;
     // Half of them keep their connection, whichever process it is with.
     let client = |n: usize| {
-        let stays = n % 2 == 0;
+        let stays = n.is_multiple_of(2);
         let (stop, next) = (stop.clone(), next.clone());
         thread::spawn(move || {
             let mut told = Vec::new();
@@ -476,3 +476,129 @@
     ran.dedup();
     assert_eq!(ran.len() as u32 + 1, count, "each once, beside the first");
 }
+
+/// `make trial-faults`: SIGKILL on either side at random points of many upgrades. A killed process takes its clients'
+/// connections along; whatever was answered ran once, nothing ran twice, and whoever is left serves.
+#[test]
+#[ignore = "long: make trial-faults"]
+fn kills_at_random_points_double_nothing() {
+    let seed = std::env::var("SEED")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(1u64);
+    println!("seed {seed}");
+    let mut chance = fastrand::Rng::with_seed(seed);
+    let member = member(Manner::Answers);
+    let (mut kills, mut old_left, mut new_left, mut none_left) = (0, 0, 0, 0);
+    while kills < 200 {
+        let stage = Stage::new(&format!("faults-{kills}"), &member, TIMES);
+        // The first process is killed, or a new one beside it, again and again until the first is gone.
+        loop {
+            assert_eq!(stage.ask("post", (kills + 1) << 8), "T D C Z");
+            let mut command = stage.command(env!("CARGO_BIN_EXE_asterlatch"));
+            let asking = thread::spawn(move || command.output().expect("runs"));
+            let begun = stage.operated.told("upgrade: begun, to");
+            let pid: u32 = begun
+                .rsplit(' ')
+                .next()
+                .and_then(|n| n.parse().ok())
+                .expect("names the process");
+            let (stop, from) = (Arc::new(AtomicBool::new(false)), ((kills + 1) << 8) + 1);
+            let clients: Vec<_> = (0..3).map(|n| fragile(&stage, &stop, from + n * 60)).collect();
+            // A whole upgrade takes about 300 ms, all but the first few of them probation.
+            let most = if chance.u8(0..3) > 0 { 4000 } else { 300_000 };
+            thread::sleep(Duration::from_micros(chance.u64(0..most)));
+            let kills_old = chance.u8(0..4) == 0;
+            let victim = if kills_old {
+                stage.operated.program.child.id()
+            } else {
+                pid
+            };
+            // It may have left by itself by now. A shell would be slower than the whole handshake.
+            let victim = i32::try_from(victim)
+                .ok()
+                .and_then(rustix::process::Pid::from_raw);
+            let _ = rustix::process::kill_process(victim.expect("a process"), rustix::process::Signal::KILL);
+            kills += 1;
+            let done = asking.join().expect("ends").status.success();
+            stop.store(true, Ordering::Relaxed);
+            let told: Vec<_> = clients
+                .into_iter()
+                .flat_map(|c| c.join().expect("no client fails"))
+                .collect();
+            let mut ran: BTreeMap<u32, u32> = BTreeMap::new();
+            while let Ok(text) = member.came.try_recv() {
+                let id = text.split("id=").nth(1).and_then(|t| t.split(',').next());
+                *ran.entry(
+                    id.and_then(|i| u32::from_str_radix(i, 16).ok())
+                        .expect("has an id"),
+                )
+                .or_default() += 1;
+            }
+            for (id, answer) in &told {
+                assert!(
+                    ["T D C Z", ""].contains(&answer.as_str()),
+                    "statement {id}: {answer}"
+                );
+                assert!(
+                    answer.is_empty() || ran.get(id) == Some(&1),
+                    "statement {id} was answered and ran once"
+                );
+            }
+            assert!(ran.values().all(|n| *n == 1), "nothing ran twice: {ran:?}");
+            if !kills_old && !done {
+                // It was killed before it was proven: the first one serves on, and tells so.
+                stage.operated.told("upgrade: failed, this process serves on");
+                old_left += 1;
+                continue;
+            }
+            // The first one is gone, or leaves: if the new one was told to serve it does, else nobody can.
+            let accepts = !kills_old
+                || stage
+                    .operated
+                    .lines
+                    .iter()
+                    .any(|l| l.contains("the service is this one's"));
+            match accepts {
+                true => new_left += 1,
+                false => none_left += 1,
+            }
+            let mut stage = stage;
+            stage.pid = Some(pid);
+            break;
+        }
+        if kills % 40 == 0 {
+            println!("{kills} kills");
+        }
+    }
+    println!("the first process served on {old_left} times, the new one {new_left} times, and {none_left} times the first");
+    println!("was killed before it told the new one to serve");
+    println!("{kills} passed, 0 failed");
+}
+
+/// A client that asks again and again, and lives with connections that are cut or refused.
+fn fragile(stage: &Stage, stop: &Arc<AtomicBool>, from: u32) -> JoinHandle<Vec<(u32, String)>> {
+    let (listen, stop) = (stage.operated.program.listen, stop.clone());
+    thread::spawn(move || {
+        let mut told = Vec::new();
+        // Ids are counted out beforehand, for each may be sent once only.
+        for id in from..from + 60 {
+            if stop.load(Ordering::Relaxed) {
+                break;
+            }
+            let asked = || -> std::io::Result<String> {
+                let mut stream = TcpStream::connect(listen)?;
+                stream.set_read_timeout(Some(PATIENCE))?;
+                stream.write_all(&[0, 0, 0, 9, 0, 3, 0, 0, 0])?;
+                if answer(&mut stream).0 != "Z" {
+                    return Ok(String::new());
+                }
+                let text = format!("/* id={id:x},c=post,d=25000,cluster=1 */ SELECT {id}\0");
+                stream.write_all(&message(b'Q', text.as_bytes()))?;
+                Ok(answer(&mut stream).0)
+            };
+            told.push((id, asked().unwrap_or_default()));
+        }
+        told
+    })
+}
