Idle connections to members move to the new process

Each upgrade would open all connections to members anew, a storm of handshakes in large groups. The old process now gives its idle ones up as descriptors, and the new one goes on with them where the member is known and there is a place. A test sees five adopted and none opened for the next statements.

--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -39,12 +39,12 @@
     let (queue, inputs) = channel();
     signals::forward(queue.clone()).map_err(|e| format!("signals: {e}"))?;
     let (to_members, to_discovery, to_operators) = (queue.clone(), queue.clone(), queue.clone());
-    let (to_takeover, to_adopted) = (queue.clone(), queue.clone());
+    let (to_takeover, to_adopted, to_resumed) = (queue.clone(), queue.clone(), queue.clone());
     let memory = config.given.rooms(&force.limits);
     // Discovery has one connection, whose answers have a bound of their own.
     let (room, unbound) = (memory.1.clone(), Room::new(usize::MAX));
     let longest = messages::bound(room.most());
-    let adopted_room = memory.0.clone();
+    let (adopted_room, members_room) = memory.clone();
     let place = Place {
         members: Box::new(move |id, address| {
             stream::dial::<_, Input>(address, Executions::new(id, longest), &to_members, (clock, &room))
@@ -63,6 +63,13 @@
             })?;
             line.ok_or_else(|| io::Error::other("no line announced"))
         }),
+        adopt_connection: Box::new(move |id, stream| {
+            let executions = Executions::resume(id, longest);
+            let mut line = None;
+            let place = (clock, &members_room);
+            stream::run::<_, Input>(stream, true, executions, &to_resumed, place, |l| line = Some(l))?;
+            line.ok_or_else(|| io::Error::other("no line announced"))
+        }),
         given: config.given,
         limits: force.limits,
         memory: memory.clone(),
--- a/crates/driver/src/program/upgrade.rs
+++ b/crates/driver/src/program/upgrade.rs
@@ -101,7 +101,7 @@
     asks: Receiver<Ask>,
     /// Says what goes to the new process, and its end, while there is one.
     link: Option<Link>,
-    /// Messages with a client that have not left yet.
+    /// Messages with a client or a member's connection that have not left yet.
     pending: Arc<AtomicUsize>,
     child: Option<OwnedFd>,
     pid: u32,
@@ -242,8 +242,16 @@
 
     /// Sends those on that are to go on in the new process; where there is none any more they stay.
     fn move_clients(&mut self, owner: &mut Owner<Log>, now: Point) {
+        let takes = matches!(self.machine.phase, old::Phase::Standby | old::Phase::Done);
+        // Where nobody takes them they end: another is opened as one is needed.
+        for (member, stream) in std::mem::take(&mut owner.moved_connections) {
+            if takes {
+                self.pending.fetch_add(1, Ordering::AcqRel);
+                self.say(Message::Member(member), Some(stream.into()));
+            }
+        }
         for moved in std::mem::take(&mut owner.moved) {
-            if !matches!(self.machine.phase, old::Phase::Standby | old::Phase::Done) {
+            if !takes {
                 owner.adopt(now, moved);
                 continue;
             }
@@ -319,7 +327,7 @@
             let beside: Vec<_> = descriptor.iter().map(AsFd::as_fd).collect();
             // One that doesn't hear is known by its end, or by its silence.
             let _ = send(&socket, &message, &beside);
-            if matches!(message, Message::Client(_)) {
+            if matches!(message, Message::Client(_) | Message::Member(_)) {
                 unsent.fetch_sub(1, Ordering::AcqRel);
                 let _ = woken.send(Input::Notice(Notice::Done));
             }
@@ -357,6 +365,7 @@
 enum Heard {
     Word(new::Input),
     Moved(Moved),
+    Member(u32, TcpStream),
 }
 
 /// The side of the new process.
@@ -511,6 +520,12 @@
                         has_asked: client.has_asked,
                     })
                 }
+                Came::Message(Message::Member(member), descriptors) => {
+                    let Some(stream) = descriptors.into_iter().next() else {
+                        continue;
+                    };
+                    Heard::Member(member, TcpStream::from(stream))
+                }
                 Came::Message(message, _) => Heard::Word(new::Input::Heard(message)),
                 Came::Garbled(_) => Heard::Word(new::Input::Garbled),
                 Came::Ended => Heard::Word(new::Input::Ended),
@@ -530,6 +545,7 @@
         while let Some(Ok(heard)) = self.heard.as_ref().map(Receiver::try_recv) {
             match heard {
                 Heard::Moved(moved) => owner.adopt(now, moved),
+                Heard::Member(member, stream) => owner.adopt_connection(now, member, stream),
                 Heard::Word(input) => {
                     if matches!(input, new::Input::Garbled | new::Input::Ended) {
                         self.ended = true;
--- a/crates/driver/src/protocol/execution.rs
+++ b/crates/driver/src/protocol/execution.rs
@@ -5,6 +5,7 @@
 use crate::transport::stream::{Dialogue, Outbox};
 use asterlatch::interface::Sighting;
 use asterlatch::time::Point;
+use std::net::TcpStream;
 
 /// What a member gave back.
 pub enum Reply {
@@ -26,6 +27,8 @@
         sighting: Sighting,
         report: Option<String>,
     },
+    /// The connection, idle, is to go on in another process.
+    Moved { connection: u32, stream: TcpStream },
     /// It is over, with or without what was to be run having gone out to its last byte.
     Down {
         connection: u32,
@@ -34,8 +37,13 @@
     },
 }
 
-/// A query to send, whole.
-pub struct Run(pub Vec<u8>);
+/// What a member's connection is told.
+pub enum Run {
+    /// A query to send, whole.
+    Query(Vec<u8>),
+    /// Gives the connection up, which sits idle.
+    HandOver,
+}
 
 /// Severities of errors that end the connection.
 const FATAL: [&str; 2] = ["FATAL", "PANIC"];
@@ -85,6 +93,14 @@
         }
     }
 
+    /// Goes on with an idle connection of another process.
+    pub fn resume(connection: u32, bound: usize) -> Executions {
+        Executions {
+            state: State::Idle,
+            ..Executions::new(connection, bound)
+        }
+    }
+
     fn send(&mut self, query: Vec<u8>, out: &mut Outbox<Heard>) {
         *self = Executions::new(self.connection, self.bound);
         self.state = State::Busy;
@@ -206,7 +222,9 @@
     type Notice = Heard;
 
     fn opened(&mut self, out: &mut Outbox<Heard>) {
-        messages::put_startup(&mut out.bytes, "asterlatch");
+        if self.state == State::Greeting {
+            messages::put_startup(&mut out.bytes, "asterlatch");
+        }
     }
 
     fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Heard>) {
@@ -231,14 +249,22 @@
         }
     }
 
-    fn told(&mut self, Run(query): Run, _at: Point, out: &mut Outbox<Heard>) {
-        match self.state {
-            State::Greeting => self.first = Some(query),
-            State::Idle => self.send(query, out),
-            State::Busy | State::Over => {}
+    fn told(&mut self, run: Run, _at: Point, out: &mut Outbox<Heard>) {
+        match (run, &self.state) {
+            (Run::Query(query), State::Greeting) => self.first = Some(query),
+            (Run::Query(query), State::Idle) => self.send(query, out),
+            (Run::HandOver, State::Idle) => out.surrender = true,
+            _ => {}
         }
     }
 
+    fn surrendered(&mut self, stream: TcpStream, _input: Vec<u8>, out: &mut Outbox<Heard>) {
+        // Idle, nothing lies unused: stray bytes have ended it before.
+        self.state = State::Over;
+        let connection = self.connection;
+        out.notices.push(Heard::Moved { connection, stream });
+    }
+
     fn written(&mut self, _out: &mut Outbox<Heard>) {
         self.written = self.sent;
     }
--- a/crates/driver/src/routing/errands.rs
+++ b/crates/driver/src/routing/errands.rs
@@ -119,7 +119,7 @@
         if let Kind::Execution { stmt, number } = errand.kind {
             self.running.insert((stmt, number), connection);
         }
-        self.pool.tell(connection, Run(query));
+        self.pool.tell(connection, Run::Query(query));
         self.ends.insert((errand.ends, connection));
         self.busy.insert(connection, errand);
         Ok(!errand.reused)
@@ -205,6 +205,39 @@
         self.pool.let_go(member);
     }
 
+    /// Has all idle connections go to another process.
+    pub fn hand_over_idle(&mut self) {
+        for id in self.pool.retire_idle() {
+            self.pool.tell(id, Run::HandOver);
+        }
+    }
+
+    /// A connection has gone; says to which member it stands.
+    pub fn moved(&mut self, connection: u32) -> Option<u32> {
+        let member = self.pool.member(connection);
+        self.pool.remove(connection);
+        member
+    }
+
+    /// Takes in an idle connection of another process, where there is a place for it.
+    pub fn adopt(
+        &mut self,
+        now: Point,
+        (member, address): (u32, SocketAddr),
+        stand: impl FnOnce(u32) -> io::Result<Line<Run>>,
+    ) -> bool {
+        if self.pool.count() >= self.most {
+            return false;
+        }
+        let id = self.pool.next_id();
+        let Ok(line) = stand(id) else {
+            return false;
+        };
+        self.pool.add(id, member, address, line);
+        self.pool.give_back(id, now);
+        true
+    }
+
     pub fn end_idle(&mut self, now: Point) {
         self.pool.end_idle_before(now, self.idle);
     }
--- a/crates/driver/src/routing/figures.rs
+++ b/crates/driver/src/routing/figures.rs
@@ -41,6 +41,8 @@
     ended_missed,
     members_malformed,
     idle_connections_stale,
+    connections_adopted,
+    clients_adopted,
     probes_sent,
     probes_answered,
     rosters_told,
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -40,6 +40,7 @@
     pub members: errands::Dial,
     pub discovery: calls::Dial,
     pub adopt: Adopt,
+    pub adopt_connection: AdoptConnection,
     pub given: Given,
     pub limits: Limits,
     /// For clients and for members.
@@ -56,6 +57,9 @@
 /// Goes on with a client's connection under this number.
 pub type Adopt = Box<dyn FnMut(u32, TcpStream, client::Standing) -> io::Result<Line<Say>>>;
 
+/// Goes on with an idle connection to a member under this number.
+pub type AdoptConnection = Box<dyn FnMut(u32, TcpStream) -> io::Result<Line<execution::Run>>>;
+
 /// Numbers of clients from another process begin here.
 const ADOPTED: u32 = 1 << 31;
 
@@ -122,7 +126,10 @@
     pub listener_closed: bool,
     draining: bool,
     adopt: Adopt,
+    adopt_connection: AdoptConnection,
     adopted: u32,
+    /// Idle connections to members that are to go on in another process.
+    pub moved_connections: Vec<(u32, TcpStream)>,
     /// Clients that are to go on in another process.
     pub moved: Vec<Moved>,
 }
@@ -169,6 +176,8 @@
             listener_closed: false,
             draining: false,
             adopt: place.adopt,
+            adopt_connection: place.adopt_connection,
+            moved_connections: Vec::new(),
             adopted: 0,
             moved: Vec::new(),
         }
@@ -327,6 +336,18 @@
     /// Has each client go to another process between two statements; those that do lie in `moved`.
     pub fn hand_clients_over(&mut self) {
         self.clients.hand_over();
+        self.errands.hand_over_idle();
+    }
+
+    /// Goes on with an idle connection to a member that is still known.
+    pub fn adopt_connection(&mut self, now: Point, member: u32, stream: TcpStream) {
+        let Some(address) = self.members.address(member) else {
+            return;
+        };
+        let adopt = &mut self.adopt_connection;
+        if self.errands.adopt(now, (member, address), |id| adopt(id, stream)) {
+            self.figures.connections_adopted += 1;
+        }
     }
 
     /// Goes on with a client that another process stood so with. Its number lies above those of who is accepted here.
@@ -336,6 +357,7 @@
         match (self.adopt)(id, moved.stream, moved.standing) {
             Ok(line) => {
                 self.arrived(now, Arrival::Client(id, line));
+                self.figures.clients_adopted += 1;
                 if moved.has_asked {
                     self.clients.asked_before(id, now);
                 }
@@ -610,6 +632,10 @@
     fn member_heard(&mut self, now: Point, heard: execution::Heard) {
         match heard {
             execution::Heard::Up { connection } => self.errands.up(connection),
+            execution::Heard::Moved { connection, stream } => {
+                let member = self.errands.moved(connection);
+                self.moved_connections.extend(member.map(|m| (m, stream)));
+            }
             execution::Heard::Replied {
                 connection,
                 at,
--- a/crates/driver/src/transport/pool.rs
+++ b/crates/driver/src/transport/pool.rs
@@ -70,6 +70,17 @@
         }
     }
 
+    /// Takes all idle connections out of use, which stay held until their end is told.
+    pub fn retire_idle(&mut self) -> Vec<u32> {
+        let idle = std::mem::take(&mut self.idle);
+        idle.into_values().flatten().collect()
+    }
+
+    /// The member that a connection stands to.
+    pub fn member(&self, id: u32) -> Option<u32> {
+        Some(self.held.get(&id)?.member)
+    }
+
     /// Members with an idle connection.
     pub fn idle_members(&self) -> usize {
         self.idle.len()
--- a/crates/driver/tests/protocol.rs
+++ b/crates/driver/tests/protocol.rs
@@ -333,6 +333,7 @@
 
 fn member_news(notices: &[execution::Heard]) -> Vec<String> {
     let words = notices.iter().map(|n| match n {
+        execution::Heard::Moved { .. } => "moved".to_owned(),
         execution::Heard::Up { .. } => "up".to_owned(),
         execution::Heard::Replied {
             reply,
@@ -442,7 +443,7 @@
 fn greet(member: &mut Executions) -> Outbox<execution::Heard> {
     let mut out = Outbox::default();
     member.opened(&mut out);
-    member.told(Run(query("q")), AT, &mut out);
+    member.told(Run::Query(query("q")), AT, &mut out);
     member.written(&mut out);
     let greeting = [
         message(b'R', &[0; 4]),
@@ -477,7 +478,7 @@
     ];
     for (name, came, written, told) in cases {
         let (mut member, mut out) = (Executions::new(1, QUERY), Outbox::default());
-        member.told(Run(query("q")), AT, &mut out);
+        member.told(Run::Query(query("q")), AT, &mut out);
         member.opened(&mut out);
         let mut left = written;
         for bytes in &came {
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -117,6 +117,7 @@
                 Ok(Line::to(sender))
             }),
             adopt: Box::new(|_, _, _| Err(io::Error::other("nobody comes"))),
+            adopt_connection: Box::new(|_, _| Err(io::Error::other("nobody comes"))),
             given,
             limits,
             memory: rooms.clone(),
@@ -234,7 +235,9 @@
     fn sent(&self) -> Option<(u32, String)> {
         let dialled = self.dialled.borrow();
         let found = dialled.iter().rev().find_map(|(id, (address, told))| {
-            let Run(query) = told.try_recv().ok()?;
+            let Run::Query(query) = told.try_recv().ok()? else {
+                return None;
+            };
             let text = String::from_utf8_lossy(&query).into_owned();
             text.contains("SELECT blob").then(|| (*id, address.clone()))
         });
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -445,6 +445,37 @@
     assert_eq!(ran.len(), 10, "each once");
 }
 
+/// A storm of handshakes at each upgrade is spared: idle connections to members move as well.
+#[test]
+fn idle_connections_to_members_move() {
+    let member = member(Manner::Waits);
+    let mut stage = Stage::new("idle", &member, TIMES);
+    let mut clients: Vec<_> = (0..5).map(|_| stage.operated.program.client()).collect();
+    let ask_all = |clients: &mut Vec<TcpStream>, from: u32| {
+        for (n, client) in clients.iter_mut().enumerate() {
+            send(client, "view", from + n as u32);
+            member.told();
+        }
+        clients.iter().for_each(|_| member.go.send(()).expect("waits"));
+        clients
+            .iter_mut()
+            .for_each(|c| assert_eq!(answer(c).0, "T D C Z"));
+    };
+    ask_all(&mut clients, 1);
+    stage.upgrade();
+    ask_all(&mut clients, 10);
+    stage.signal(stage.pid.expect("serves"), "USR1");
+    let counters = stage.operated.told("counters: clients_accepted=");
+    for part in [
+        "connections_adopted=5 ",
+        "connections_opened=0 ",
+        "clients_adopted=5 ",
+        "completed=5 ",
+    ] {
+        assert!(counters.contains(&format!(" {part}")), "{part}in {counters}");
+    }
+}
+
 /// A row of statements sent ahead keeps its order: what was taken is answered where it was taken, the rest where the
 /// client goes on.
 #[test]
--- a/crates/takeover/src/message.rs
+++ b/crates/takeover/src/message.rs
@@ -24,6 +24,8 @@
     Taken,
     /// Old: a client between two statements, with its connection beside.
     Client(Client),
+    /// Old: an idle connection to the member with this id, beside.
+    Member(u32),
     /// New: it still serves.
     Beat,
     /// New: its probation is over.
@@ -46,7 +48,10 @@
 impl Message {
     /// How many descriptors go beside it: what is read together may belong to the message before.
     pub fn descriptors(&self) -> usize {
-        usize::from(matches!(self, Message::State(_) | Message::Client(_)))
+        usize::from(matches!(
+            self,
+            Message::State(_) | Message::Client(_) | Message::Member(_)
+        ))
     }
 }
 
