Sockets from another process are registered behind the lock on numbers too

Moved sockets get their numbers on a third thread and are registered on the owner's, outside the lock that keeps a close from taking a new number out of the event loop's set. The lock now stands around the registration itself, whichever way a socket came; the test that loses one of some thousand connections without it still passes.

--- a/crates/driver/src/transport/mod.rs
+++ b/crates/driver/src/transport/mod.rs
@@ -34,9 +34,10 @@
     });
 }
 
-/// Held while a socket is closed, and while one is opened and registered on another thread. The event loop closes first
-/// and takes the number out of its set behind that: a new socket that was given the number in between would be taken out
-/// in its place, and never be heard of again.
+/// Held while a socket is closed, and while one is registered, whichever way it came: dialled, accepted, or from another
+/// process. The event loop closes first and takes the number out of its set behind that: a new socket that was given the
+/// number in between and registered would be taken out in its place, and never be heard of again. Registered behind the
+/// lock it comes after both.
 pub fn numbers() -> MutexGuard<'static, ()> {
     static NUMBERS: Mutex<()> = Mutex::new(());
     NUMBERS.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -335,7 +335,9 @@
     M: From<D::Notice> + Send + 'static,
 {
     stream.set_nodelay(true)?;
+    let alone = super::numbers();
     let io = CoIo::new(stream).map_err(|_| io::Error::other("not registered with the event loop"))?;
+    drop(alone);
     let (sender, commands) = channel();
     let waker = io.waker();
     let mut out = Outbox::default();
@@ -383,7 +385,6 @@
     D: Dialogue,
     M: From<D::Notice> + Send + 'static,
 {
-    let _alone = super::numbers();
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
     match socket.connect(&address.into()) {
