Read through: one way to hold a line, to go through rules, to read a ledger; dead state gone

Reading the whole change again found the same lines written two and three times: announcing a line (dial and both kinds of adopted connections: stream::hold now), going through a list of rules in both sides of the takeover (go_through), and the tests' ledger of what a member ran. The meaning in force was turned into figures twice at a start. Without use were the sides' accepts(), the frames' in_def and the list of keywords.

--- a/crates/config/src/eval.rs
+++ b/crates/config/src/eval.rs
@@ -54,7 +54,6 @@
     sections: &'a Sections,
     /// Parameters, names set in a def, and names of comprehensions; the last one of a name counts.
     locals: Vec<(Rc<str>, Value)>,
-    in_def: bool,
 }
 
 /// A report is made, here or before.
@@ -104,12 +103,11 @@
 
     /// Runs one statement of a file's top; loads are the caller's.
     pub fn top(&mut self, file: u32, sections: &Sections, stmt: &Stmt) {
-        let (locals, in_def) = (Vec::new(), false);
+        let locals = Vec::new();
         let mut frame = Frame {
             file,
             sections,
             locals,
-            in_def,
         };
         match stmt {
             Stmt::Assign { to, value } => {
@@ -675,12 +673,11 @@
             let help = near.map(|n| format!("'{n}' was meant?"));
             return self.fault(Report { help, ..report });
         }
-        let (locals, in_def) = (Vec::new(), true);
+        let locals = Vec::new();
         let mut inner = Frame {
             file,
             sections: frame.sections,
             locals,
-            in_def,
         };
         for (n, (param, default)) in def.params.iter().enumerate() {
             let given = named.iter().find(|(name, ..)| name.name == param.name);
@@ -706,7 +703,6 @@
     }
 
     fn body(&mut self, frame: &mut Frame, def: &Def) -> Done<Value> {
-        debug_assert!(frame.in_def);
         for stmt in &def.body {
             match stmt {
                 Stmt::Assign { to, value } => {
--- a/crates/config/src/lex.rs
+++ b/crates/config/src/lex.rs
@@ -30,10 +30,6 @@
     End,
 }
 
-pub const KEYWORDS: [&str; 14] = [
-    "load", "def", "return", "if", "else", "for", "in", "and", "or", "not", "True", "False", "None", "lambda",
-];
-
 impl Token {
     pub fn is_blank(self) -> bool {
         matches!(self, Token::Space | Token::Comment | Token::Newline)
--- a/crates/driver/src/program/operators.rs
+++ b/crates/driver/src/program/operators.rs
@@ -287,11 +287,15 @@
 }
 
 impl Operators {
-    pub fn new(given: &Given, start: Start, queue: Sender<Input>) -> Result<Operators, String> {
+    pub fn new(
+        given: &Given,
+        start: Start,
+        upgrade_times: old::Times,
+        queue: Sender<Input>,
+    ) -> Result<Operators, String> {
         let canonical = start.meaning.canonical(registry());
         let digest = hash(&canonical);
         let (number, most) = (start.number, kept(&start.meaning));
-        let upgrade_times = InForce::of(&start.meaning).takeover.0;
         let generations = Generations::new(number, digest, start.meaning, difference, terms);
         let (tell, done) = channel();
         let jobs = match &given.file {
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -17,7 +17,6 @@
 use crate::transport::room::Room;
 use crate::transport::{self, listener, stream};
 use asterlatch::time::Point;
-use std::io;
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::mpsc::channel;
@@ -56,19 +55,12 @@
         adopt: Box::new(move |id, stream, mut standing| {
             let session = Session::resume(id, adopted_room.clone(), &standing);
             let input = std::mem::take(&mut standing.input);
-            let mut line = None;
-            let place = (clock, &adopted_room);
-            stream::run_on::<_, Input>(stream, true, session, &to_adopted, place, input, |l| {
-                line = Some(l)
-            })?;
-            line.ok_or_else(|| io::Error::other("no line announced"))
+            stream::hold::<_, Input>(stream, true, session, &to_adopted, (clock, &adopted_room), input)
         }),
         adopt_connection: Box::new(move |id, stream| {
             let executions = Executions::resume(id, longest);
-            let mut line = None;
             let place = (clock, &members_room);
-            stream::run::<_, Input>(stream, true, executions, &to_resumed, place, |l| line = Some(l))?;
-            line.ok_or_else(|| io::Error::other("no line announced"))
+            stream::hold::<_, Input>(stream, true, executions, &to_resumed, place, Vec::new())
         }),
         given: config.given,
         limits: force.limits,
@@ -111,7 +103,7 @@
     for (topic, line) in &start.lines {
         log!(owner.observer, clock.now(), topic, "{line}");
     }
-    let mut operators = Operators::new(given, start, to_operators)?;
+    let mut operators = Operators::new(given, start, force.takeover.0, to_operators)?;
     let mut told_to_leave = false;
     owner.run(&inputs, clock, |owner, now| {
         for notice in std::mem::take(&mut owner.notices) {
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -393,10 +393,24 @@
         }
         _ => {}
     }
+    hold(socket.into(), false, dialogue, queue, (clock, room), Vec::new())
+}
+
+/// As `run_on`, for whoever holds the line from the first.
+pub fn hold<D, M>(
+    stream: TcpStream,
+    up: bool,
+    dialogue: D,
+    queue: &Sender<M>,
+    place: (Clock, &Room),
+    input: Vec<u8>,
+) -> io::Result<Line<D::Command>>
+where
+    D: Dialogue,
+    M: From<D::Notice> + Send + 'static,
+{
     let mut line = None;
-    run(socket.into(), false, dialogue, queue, (clock, room), |l| {
-        line = Some(l)
-    })?;
+    run_on(stream, up, dialogue, queue, place, input, |l| line = Some(l))?;
     line.ok_or_else(|| io::Error::other("no line announced"))
 }
 
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -165,6 +165,19 @@
     }
 }
 
+/// How often the member ran each statement since it was last asked.
+fn ran(member: &Member) -> BTreeMap<u32, u32> {
+    let mut ran = BTreeMap::new();
+    while let Ok(text) = member.came.try_recv() {
+        let id = text.split("id=").nth(1).and_then(|t| t.split(',').next());
+        let id = id
+            .and_then(|i| u32::from_str_radix(i, 16).ok())
+            .expect("has an id");
+        *ran.entry(id).or_default() += 1;
+    }
+    ran
+}
+
 impl Load {
     /// Stops, and holds what clients were told against what the member ran.
     fn check(self, member: &Member, from: u32) -> usize {
@@ -174,14 +187,7 @@
             .into_iter()
             .flat_map(|c| c.join().expect("no client fails"))
             .collect();
-        let mut ran: BTreeMap<u32, u32> = BTreeMap::new();
-        while let Ok(text) = member.came.try_recv() {
-            let id = text.split("id=").nth(1).and_then(|t| t.split(',').next());
-            let id = id
-                .and_then(|i| u32::from_str_radix(i, 16).ok())
-                .expect("has an id");
-            *ran.entry(id).or_default() += 1;
-        }
+        let ran = ran(member);
         for (id, answer) in &told {
             assert_eq!(answer, "T D C Z", "statement {id}");
             assert_eq!(ran.get(id), Some(&1), "statement {id} ran once");
@@ -557,15 +563,7 @@
                 .into_iter()
                 .flat_map(|c| c.join().expect("no client fails"))
                 .collect();
-            let mut ran: BTreeMap<u32, u32> = BTreeMap::new();
-            while let Ok(text) = member.came.try_recv() {
-                let id = text.split("id=").nth(1).and_then(|t| t.split(',').next());
-                *ran.entry(
-                    id.and_then(|i| u32::from_str_radix(i, 16).ok())
-                        .expect("has an id"),
-                )
-                .or_default() += 1;
-            }
+            let ran = ran(&member);
             for (id, answer) in &told {
                 assert!(
                     ["T D C Z", ""].contains(&answer.as_str()),
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -21,3 +21,15 @@
 pub mod new;
 pub mod old;
 pub mod wire;
+
+/// A condition and an effect: nothing where it doesn't hold.
+type Rule<M, E> = fn(&mut M) -> Option<Vec<E>>;
+
+/// Goes through the rules in their order, again and again, until none fires.
+fn go_through<M, E>(rules: &[Rule<M, E>], machine: &mut M) -> Vec<E> {
+    let mut effects = Vec::new();
+    while let Some(more) = rules.iter().find_map(|rule| rule(machine)) {
+        effects.extend(more);
+    }
+    effects
+}
--- a/crates/takeover/src/new.rs
+++ b/crates/takeover/src/new.rs
@@ -1,6 +1,7 @@
 //! The side of the new process. Accepts nothing before it is told that the old one has stopped.
 
 use crate::message::{Message, VERSION};
+use crate::{go_through, Rule};
 use asterlatch::time::{Point, Span};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -67,9 +68,7 @@
     input: Option<Input>,
 }
 
-type Rule = fn(&mut New) -> Option<Vec<Effect>>;
-
-const RULES: [Rule; 8] = [
+const RULES: [Rule<New, Effect>; 8] = [
     New::greet,
     New::load,
     New::ready,
@@ -92,21 +91,13 @@
         }
     }
 
-    pub fn accepts(&self) -> bool {
-        matches!(self.phase, Phase::Probation | Phase::Owner)
-    }
-
     pub fn next_at(&self) -> Point {
         self.until
     }
 
     pub fn take(&mut self, now: Point, input: Input) -> Vec<Effect> {
         (self.now, self.input) = (now, Some(input));
-        let mut effects = Vec::new();
-        while let Some(more) = RULES.iter().find_map(|rule| rule(self)) {
-            effects.extend(more);
-        }
-        effects
+        go_through(&RULES, self)
     }
 
     /// Counts all times from now on: what a checker of the protocol tells states apart by must not grow with the clock.
--- a/crates/takeover/src/old.rs
+++ b/crates/takeover/src/old.rs
@@ -1,6 +1,7 @@
 //! The side of the process that serves now. Goes on serving whatever becomes of the new one.
 
 use crate::message::{Message, VERSION};
+use crate::{go_through, Rule};
 use asterlatch::time::{Point, Span};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -100,10 +101,8 @@
     leaving: bool,
 }
 
-type Rule = fn(&mut Old) -> Option<Vec<Effect>>;
-
 /// In this order; each takes the input where it is its own.
-const RULES: [Rule; 11] = [
+const RULES: [Rule<Old, Effect>; 11] = [
     Old::refuse_a_second,
     Old::start,
     Old::leave,
@@ -129,25 +128,13 @@
         }
     }
 
-    /// Whether this process accepts clients.
-    pub fn accepts(&self) -> bool {
-        matches!(
-            self.phase,
-            Phase::Serving | Phase::Offered | Phase::Sent | Phase::Fencing { resumes: false }
-        )
-    }
-
     pub fn next_at(&self) -> Point {
         self.until
     }
 
     pub fn take(&mut self, now: Point, input: Input) -> Vec<Effect> {
         (self.now, self.input) = (now, Some(input));
-        let mut effects = Vec::new();
-        while let Some(more) = RULES.iter().find_map(|rule| rule(self)) {
-            effects.extend(more);
-        }
-        effects
+        go_through(&RULES, self)
     }
 
     /// Counts all times from now on: what a checker of the protocol tells states apart by must not grow with the clock.
