--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 # Outside CI: costs by size, and the fuzz target for five minutes (needs cargo-fuzz and a nightly tool chain).
 bench-config:
-	cargo bench -p asterlatch-config --locked --bench size
+	cargo bench -p asterlatch-config --locked --bench size --bench cost
 
 # Processor time of a flood of bad input, against an earlier build: make bench-flood BEFORE=path/to/asterlatch
 bench-flood:
--- /dev/null
+++ b/crates/config/benches/cost.rs
@@ -0,0 +1,60 @@
+//! Check and diff of files with 100, 1,000 and 10,000 entries over 50 includes, by divan, with what they allocate:
+//! `cargo bench -p asterlatch-config --bench cost`. `size` holds the cost of an entry against its bound.
+
+use asterlatch_config::host;
+use asterlatch_config::load::{read, Held};
+use asterlatch_config::meaning::{changes, Meaning};
+use divan::{AllocProfiler, Bencher};
+use std::collections::BTreeMap;
+
+#[global_allocator]
+static ALLOCATOR: AllocProfiler = AllocProfiler::system();
+
+const INCLUDES: usize = 50;
+const ENTRIES: [usize; 3] = [100, 1000, 10_000];
+
+fn main() {
+    divan::main();
+}
+
+fn files(entries: usize, timeout: usize) -> Held {
+    let entry = |n: usize| {
+        format!(
+            "workload(\"workload-{n}\", timeout = {}ms, longest = 16KiB)\n",
+            timeout + n
+        )
+    };
+    let part = |i: usize| {
+        (
+            format!("part{i}.latch"),
+            (i..entries).step_by(INCLUDES).map(entry).collect::<String>(),
+        )
+    };
+    let mut files: BTreeMap<_, _> = (0..INCLUDES)
+        .map(part)
+        .map(|(n, t)| (n, t.into_bytes()))
+        .collect();
+    let root: String = (0..INCLUDES)
+        .map(|i| format!("load(\"part{i}.latch\")\n"))
+        .collect();
+    files.insert("root.latch".to_owned(), root.into_bytes());
+    Held(files)
+}
+
+fn meaning(files: &Held) -> Meaning {
+    let outcome = read("root.latch", files, &host::registry(), host::MACHINE);
+    outcome.meaning.expect("is valid")
+}
+
+#[divan::bench(args = ENTRIES, sample_count = 20)]
+fn check(bencher: Bencher, entries: usize) {
+    let files = files(entries, 1000);
+    bencher.bench_local(|| meaning(&files));
+}
+
+#[divan::bench(args = ENTRIES, sample_count = 20)]
+fn diff(bencher: Bencher, entries: usize) {
+    let registry = host::registry();
+    let (old, new) = (meaning(&files(entries, 1000)), meaning(&files(entries, 2000)));
+    bencher.bench_local(|| changes(&registry, &old, &new));
+}
