Clients of a new process that dies on probation are taken back, by a ledger it writes

A new process that died took its clients along, and nobody knew what had become of their statements. Change: on probation the new one writes down what it does next to each client (reads, sends on, answers) into a socket that outlives it, before it does it; the former one keeps copies of the connections and, once the other is dead, asks the kernel how much was read and written (TCP_INFO) and goes on from there. Statements that had gone out are answered 40003, or 53300 where a repeat is harmless; others 53300; whole answers are never said twice; a client with half an answer is cut off.

A process crashed on the way: a socket that another process holds stayed registered with the event loop after its close here; it is taken out of it first.

--- /dev/null
+++ b/crates/driver/src/program/kept.rs
@@ -0,0 +1,167 @@
+//! Copies of the connections of clients that another process serves on probation, with the ledger of what it does.
+
+use crate::protocol::session::Standing;
+use crate::routing::owner::Moved;
+use crate::transport::witness::{counts, has_given_up};
+use asterlatch_takeover::ledger::{Back, Broken, Counts, Key, Ledger, Record, Start};
+use asterlatch_takeover::wire::{Came, Reader};
+use std::collections::BTreeMap;
+use std::net::{Shutdown, TcpStream};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+
+#[derive(Default)]
+struct Table {
+    /// None where nothing is known of the clients any more.
+    ledger: Option<Ledger>,
+    /// Each with what the kernel had counted of it when the other process began.
+    sockets: BTreeMap<Key, (TcpStream, Counts)>,
+    broken: Option<Broken>,
+}
+
+impl Table {
+    fn give_up(&mut self, broken: Broken) {
+        (self.ledger, self.broken) = (None, Some(broken));
+        self.sockets.clear();
+    }
+}
+
+/// One for each new process.
+#[derive(Clone, Default)]
+pub struct Kept(Arc<Mutex<Table>>);
+
+/// What was had back.
+#[derive(Default)]
+pub struct TakenBack {
+    pub clients: Vec<Moved>,
+    /// Those to whom nothing whole could be said any more.
+    pub cut: u64,
+    /// Why nobody was, where the ledger was not whole.
+    pub fault: Option<String>,
+}
+
+impl Kept {
+    pub fn new(most: usize) -> Kept {
+        let kept = Kept::default();
+        kept.table().ledger = Some(Ledger::new(most));
+        kept
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A client goes to the other process; where no copy of its connection can be had it will be cut.
+    pub fn hand_over(&self, handed: u64, moved: &Moved) {
+        let mut table = self.table();
+        let table = &mut *table;
+        let Some(ledger) = &mut table.ledger else { return };
+        let start = Start {
+            opened: moved.standing.opened,
+            has_asked: moved.has_asked,
+            skip: moved.standing.skip as u64,
+            input: moved.standing.input.clone(),
+        };
+        if let Err(broken) = ledger.hand_over(handed, start) {
+            return table.give_up(broken);
+        }
+        // Nobody reads or writes it in this moment.
+        if let (Ok(copy), Ok(base)) = (moved.stream.try_clone(), counts(&moved.stream)) {
+            table.sockets.insert(Key::Handed(handed), (copy, base));
+        }
+    }
+
+    fn take(&self, record: Record, descriptor: Option<OwnedFd>) {
+        let mut table = self.table();
+        let table = &mut *table;
+        let Some(ledger) = &mut table.ledger else { return };
+        match record {
+            Record::Arrived { client } => {
+                if let Some(descriptor) = descriptor {
+                    let socket = (TcpStream::from(descriptor), Counts::default());
+                    table.sockets.insert(Key::Client(client), socket);
+                }
+            }
+            Record::Adopted { client, handed } => {
+                let socket = table.sockets.remove(&Key::Handed(handed));
+                table.sockets.extend(socket.map(|s| (Key::Client(client), s)));
+            }
+            Record::Gone { client } => drop(table.sockets.remove(&Key::Client(client))),
+            _ => {}
+        }
+        if let Err(broken) = ledger.take(record) {
+            table.give_up(broken);
+        }
+    }
+
+    /// Reads on a thread of its own for as long as the other process writes.
+    pub fn follow(&self, socket: UnixStream) -> std::io::Result<JoinHandle<()>> {
+        let kept = self.clone();
+        let read = move || {
+            let mut reader = Reader::<Record>::new(socket);
+            loop {
+                match reader.read() {
+                    Came::Message(record, beside) => kept.take(record, beside.into_iter().next()),
+                    Came::Garbled(_) => kept.table().give_up(Broken::Senseless),
+                    Came::Ended => return,
+                }
+            }
+        };
+        std::thread::Builder::new().name("ledger".to_owned()).spawn(read)
+    }
+
+    /// The other process has the service for good.
+    pub fn clear(&self) {
+        *self.table() = Table::default();
+    }
+
+    /// The other process is dead and all it wrote was read: what becomes of its clients.
+    pub fn take_back(&self, given_up: &OwnedFd) -> TakenBack {
+        let Table {
+            ledger,
+            mut sockets,
+            broken,
+        } = std::mem::take(&mut *self.table());
+        let mut back = TakenBack {
+            fault: broken.map(|b| format!("{b:?}")),
+            ..TakenBack::default()
+        };
+        let Some(ledger) = ledger else { return back };
+        if has_given_up(given_up) {
+            back.fault = Some("the new process couldn't write it on".to_owned());
+            back.cut = sockets.len() as u64;
+            return back;
+        }
+        let since = |key| {
+            let (socket, base): &(TcpStream, Counts) = sockets.get(&key)?;
+            let all = counts(socket).ok()?;
+            Some(Counts {
+                read: all.read.checked_sub(base.read)?,
+                written: all.written.checked_sub(base.written)?,
+            })
+        };
+        for (key, outcome) in ledger.settle(since) {
+            match (outcome, sockets.remove(&key)) {
+                (Back::GoesOn(client), Some((stream, _))) => back.clients.push(Moved {
+                    stream,
+                    standing: Standing {
+                        opened: client.opened,
+                        skip: client.skip as usize,
+                        input: client.input,
+                        handed: None,
+                    },
+                    has_asked: client.has_asked,
+                    verdicts: client.verdicts,
+                }),
+                (_, socket) => {
+                    back.cut += 1;
+                    // Its client sees that no more comes.
+                    socket.map(|(stream, _)| stream.shutdown(Shutdown::Both));
+                }
+            }
+        }
+        back
+    }
+}
--- a/crates/driver/src/program/mod.rs
+++ b/crates/driver/src/program/mod.rs
@@ -3,6 +3,7 @@
 pub mod commands;
 pub mod config;
 pub mod counters;
+mod kept;
 pub mod log;
 pub mod operators;
 pub mod phases;
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -35,6 +35,7 @@
     transport::start(force.stacks);
     let resumed = takeover.as_mut().map(|t| t.load(&config)).transpose()?;
     let clock = resumed.as_ref().map_or_else(Clock::start, |r| r.clock);
+    let witness = takeover.as_mut().map(Takeover::witness).transpose()?.flatten();
     let (queue, inputs) = channel();
     signals::forward(queue.clone()).map_err(|e| format!("signals: {e}"))?;
     let (to_members, to_discovery, to_operators) = (queue.clone(), queue.clone(), queue.clone());
@@ -44,7 +45,9 @@
     let (room, unbound) = (memory.1.clone(), Room::new(usize::MAX));
     let longest = messages::bound(room.most());
     let (adopted_room, members_room) = memory.clone();
+    let witnessed = witness.clone();
     let place = Place {
+        witness: witness.clone(),
         members: Box::new(move |id, address| {
             stream::dial::<_, Input>(address, Executions::new(id, longest), &to_members, (clock, &room))
         }),
@@ -54,6 +57,7 @@
         }),
         adopt: Box::new(move |id, stream, mut standing| {
             let session = Session::resume(id, adopted_room.clone(), &standing);
+            let session = session.witnessed(witnessed.clone());
             let input = std::mem::take(&mut standing.input);
             stream::hold::<_, Input>(stream, true, session, &to_adopted, (clock, &adopted_room), input)
         }),
@@ -79,7 +83,7 @@
         owner.learn_roster(clock.now(), known);
     }
     let (clients, room) = (memory.0.clone(), memory.0);
-    let session = move |id| Session::new(id, room.clone());
+    let session = move |id| Session::new(id, room.clone()).witnessed(witness.clone());
     let inherited = takeover.as_mut().and_then(Takeover::listener);
     let bound = inherited.map_or_else(|| TcpListener::bind(config.listen), Ok);
     let listener = bound.map_err(|e| format!("{}: {e}", config.listen))?;
--- a/crates/driver/src/program/upgrade.rs
+++ b/crates/driver/src/program/upgrade.rs
@@ -2,18 +2,22 @@
 //! tells whoever asked. All waiting is done on threads beside the owner's.
 
 use super::config::Config;
+use super::kept::Kept;
 use super::log::{log, Log};
 use crate::protocol::session::Standing;
 use crate::routing::owner::{Moved, Owner};
 use crate::routing::queue::{Input, Notice};
 use crate::routing::tables::Members;
 use crate::transport::clock::Clock;
+use crate::transport::witness::Witness;
 use asterlatch::choice::Driver;
 use asterlatch::time::{Point, Span};
+use asterlatch_takeover::ledger::Verdicts;
 use asterlatch_takeover::message::{Client, Message};
 use asterlatch_takeover::new::{self, New};
 use asterlatch_takeover::old::{self, Old, Told};
 use asterlatch_takeover::wire::{machine_us, send, Came, Reader};
+use rustix::event::EventfdFlags;
 use rustix::process::{pidfd_open, pidfd_send_signal, Pid, PidfdFlags, Signal};
 use serde::{Deserialize, Serialize};
 use std::ffi::OsString;
@@ -25,8 +29,9 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, Receiver, SendError, Sender};
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// Names the descriptor of the socket to the former process, where there is one.
@@ -101,6 +106,11 @@
     asks: Receiver<Ask>,
     /// Says what goes to the new process, and its end, while there is one.
     link: Option<Link>,
+    /// Connections of clients that are the new process's on probation, and what it does with them.
+    kept: Kept,
+    /// By which the new process tells that the ledger isn't whole.
+    given_up: Option<OwnedFd>,
+    handed: u64,
     /// Messages with a client or a member's connection that have not left yet.
     pending: Arc<AtomicUsize>,
     child: Option<OwnedFd>,
@@ -122,6 +132,9 @@
             heard,
             asks,
             link: None,
+            kept: Kept::default(),
+            given_up: None,
+            handed: 0,
             pending: Arc::default(),
             child: None,
             pid: 0,
@@ -189,10 +202,11 @@
             match effect {
                 old::Effect::Start => self.start(),
                 old::Effect::SendState => match written(owner, now, self.settings) {
-                    Ok(bytes) => {
-                        let listener = owner.listener().map(OwnedFd::from);
-                        self.say(Message::State(bytes), listener);
-                    }
+                    Ok(bytes) => match self.beside(owner) {
+                        Ok(beside) => self.say(Message::State(bytes), beside),
+                        // It isn't told anything, and is known by that.
+                        Err(e) => log!(owner.observer, now, "upgrade", "no descriptors to send: {e}"),
+                    },
                     Err(e) => log!(
                         owner.observer,
                         now,
@@ -200,12 +214,16 @@
                         "the state can't be written out: {e}"
                     ),
                 },
-                old::Effect::Say(message) => self.say(message, None),
+                old::Effect::Say(message) => self.say(message, Vec::new()),
                 old::Effect::StopAccepting => owner.pause(true),
                 old::Effect::Accept => owner.pause(false),
                 old::Effect::SendAway => owner.hand_clients_over(),
+                old::Effect::TakeBack => self.take_back(owner, now),
                 old::Effect::Kill => self.kill(),
-                old::Effect::Leave => self.is_over = true,
+                old::Effect::Leave => {
+                    self.kept.clear();
+                    self.is_over = true;
+                }
                 old::Effect::Tell(told) => self.told(owner, now, &told),
             }
         }
@@ -229,9 +247,52 @@
         }
     }
 
-    fn say(&self, message: Message, descriptor: Option<OwnedFd>) {
+    fn say(&self, message: Message, beside: Vec<OwnedFd>) {
         if let Some(link) = &self.link {
-            let _ = link.send((message, descriptor));
+            let _ = link.send((message, beside));
+        }
+    }
+
+    /// Listener, ledger, and what the ledger is given up with.
+    fn beside(&mut self, owner: &Owner<Log>) -> io::Result<Vec<OwnedFd>> {
+        let link = self.link.as_mut().ok_or(io::ErrorKind::NotConnected)?;
+        let listener = owner.listener().ok_or(io::ErrorKind::NotConnected)?;
+        let (ours, theirs) = UnixStream::pair()?;
+        let flags = EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK;
+        let given_up = rustix::event::eventfd(0, flags)?;
+        let copy = given_up.try_clone()?;
+        // As much as its clients may fill here, they may fill there.
+        self.kept = Kept::new(owner.clients_memory());
+        link.follow(self.kept.follow(ours)?);
+        self.given_up = Some(given_up);
+        Ok(vec![listener.into(), theirs.into(), copy])
+    }
+
+    /// The new process is dead; its clients go on here.
+    fn take_back(&mut self, owner: &mut Owner<Log>, now: Point) {
+        let Some(given_up) = self.given_up.take() else {
+            return;
+        };
+        let back = self.kept.take_back(&given_up);
+        let (count, cut) = (back.clients.len(), back.cut);
+        owner.figures.clients_taken_back += count as u64;
+        owner.figures.clients_cut += cut;
+        for moved in back.clients {
+            owner.adopt(now, moved);
+        }
+        match back.fault {
+            Some(why) => log!(
+                owner.observer,
+                now,
+                "upgrade",
+                "{cut} clients cut off, for the ledger isn't whole: {why}"
+            ),
+            None => log!(
+                owner.observer,
+                now,
+                "upgrade",
+                "{count} clients taken back, {cut} cut off"
+            ),
         }
     }
 
@@ -247,7 +308,7 @@
         for (member, stream) in std::mem::take(&mut owner.moved_connections) {
             if takes {
                 self.pending.fetch_add(1, Ordering::AcqRel);
-                self.say(Message::Member(member), Some(stream.into()));
+                self.say(Message::Member(member), vec![stream.into()]);
             }
         }
         for moved in std::mem::take(&mut owner.moved) {
@@ -255,14 +316,17 @@
                 owner.adopt(now, moved);
                 continue;
             }
+            self.handed += 1;
+            self.kept.hand_over(self.handed, &moved);
             let client = Client {
+                handed: self.handed,
                 opened: moved.standing.opened,
                 has_asked: moved.has_asked,
                 skip: moved.standing.skip as u64,
                 input: moved.standing.input,
             };
             self.pending.fetch_add(1, Ordering::AcqRel);
-            self.say(Message::Client(client), Some(moved.stream.into()));
+            self.say(Message::Client(client), vec![moved.stream.into()]);
         }
     }
 
@@ -286,7 +350,24 @@
     }
 }
 
-type Link = Sender<(Message, Option<OwnedFd>)>;
+type Beside = (Message, Vec<OwnedFd>);
+
+/// What goes to the new process, and the thread that reads its ledger.
+struct Link {
+    messages: Sender<Beside>,
+    ledgers: Sender<JoinHandle<()>>,
+}
+
+impl Link {
+    fn send(&self, message: Beside) -> Result<(), SendError<Beside>> {
+        self.messages.send(message)
+    }
+
+    /// The new process's end is told only when all it wrote was read.
+    fn follow(&self, ledger: JoinHandle<()>) {
+        let _ = self.ledgers.send(ledger);
+    }
+}
 
 /// Starts the new process with this one's arguments, and the threads that talk to it.
 fn begin(
@@ -319,12 +400,13 @@
                 .map_or(io::Error::other("no process"), Into::into));
         }
     };
-    let (link, to_say) = channel::<(Message, Option<OwnedFd>)>();
+    let (messages, to_say) = channel::<Beside>();
+    let (ledgers, ledger) = channel::<JoinHandle<()>>();
     let socket = ours.try_clone()?;
     let (unsent, woken) = (pending.clone(), queue.clone());
     let say = move || {
-        for (message, descriptor) in to_say {
-            let beside: Vec<_> = descriptor.iter().map(AsFd::as_fd).collect();
+        for (message, descriptors) in to_say {
+            let beside: Vec<_> = descriptors.iter().map(AsFd::as_fd).collect();
             // One that doesn't hear is known by its end, or by its silence.
             let _ = send(&socket, &message, &beside);
             if matches!(message, Message::Client(_) | Message::Member(_)) {
@@ -349,6 +431,7 @@
         }
         // A closed socket is no end: only the kernel's word is.
         let _ = child.wait();
+        ledger.try_iter().for_each(|reads| drop(reads.join()));
         let _ = tell.send(old::Input::Ended);
         let _ = queue.send(Input::Notice(Notice::Done));
     };
@@ -358,7 +441,7 @@
     std::thread::Builder::new()
         .name("takeover".to_owned())
         .spawn(hear)?;
-    Ok((number, descriptor, link))
+    Ok((number, descriptor, Link { messages, ledgers }))
 }
 
 /// What comes from the former process while this one serves.
@@ -377,6 +460,9 @@
     /// The former process is gone.
     ended: bool,
     listener: Option<TcpListener>,
+    /// To write the ledger into, and to give it up with.
+    ledger: Option<(UnixStream, OwnedFd)>,
+    witness: Option<Witness>,
     started: Point,
 }
 
@@ -402,6 +488,8 @@
         heard: None,
         ended: false,
         listener: None,
+        ledger: None,
+        witness: None,
         started: Point(machine_us()),
     }))
 }
@@ -449,6 +537,13 @@
         self.listener.take()
     }
 
+    /// Writes down what is done here, for as long as the former process may have to go on with it.
+    pub fn witness(&mut self) -> Result<Option<Witness>, String> {
+        let made = self.ledger.take().map(|(socket, end)| Witness::new(socket, end));
+        self.witness = made.transpose().map_err(|e| format!("ledger: {e}"))?;
+        Ok(self.witness.clone())
+    }
+
     /// The next word of the former process, its end, or its silence.
     fn wait(&mut self) -> Vec<new::Effect> {
         let wait = self.machine.next_at() - self.machine_now();
@@ -459,11 +554,13 @@
         };
         let input = match reader.read() {
             Came::Message(message, descriptors) => {
-                self.listener = descriptors
-                    .into_iter()
-                    .next()
-                    .map(TcpListener::from)
-                    .or(self.listener.take());
+                let mut beside = descriptors.into_iter();
+                if let (Some(listener), Some(ledger), Some(given_up)) =
+                    (beside.next(), beside.next(), beside.next())
+                {
+                    self.listener = Some(listener.into());
+                    self.ledger = Some((ledger.into(), given_up));
+                }
                 new::Input::Heard(message)
             }
             Came::Garbled(_) => new::Input::Garbled,
@@ -513,11 +610,13 @@
                         opened: client.opened,
                         skip: client.skip as usize,
                         input: client.input,
+                        handed: Some(client.handed),
                     };
                     Heard::Moved(Moved {
                         stream: TcpStream::from(stream),
                         standing,
                         has_asked: client.has_asked,
+                        verdicts: Verdicts::default(),
                     })
                 }
                 Came::Message(Message::Member(member), descriptors) => {
@@ -558,6 +657,15 @@
         if self.machine.next_at() <= machine_now {
             effects.extend(self.machine.take(machine_now, new::Input::Time));
         }
+        let given_up = self.witness.take_if(|w| !w.is_on());
+        if given_up.is_some() {
+            log!(
+                owner.observer,
+                now,
+                "upgrade",
+                "the ledger is given up: the former process doesn't read it"
+            );
+        }
         for effect in effects {
             match effect {
                 new::Effect::Say(message) => self.say(&message),
@@ -573,6 +681,10 @@
                 _ => {}
             }
         }
+        // Whoever is proven, or alone, answers for its clients itself; not before the former one was told so.
+        if self.machine.phase == new::Phase::Owner {
+            self.witness.take().inspect(Witness::stop);
+        }
     }
 
     /// In the service's own time.
--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -4,9 +4,12 @@
 use super::messages::{self, Front, Opening};
 use crate::transport::room::{Room, Taken};
 use crate::transport::stream::{Dialogue, Outbox};
+use crate::transport::witness::Witness;
 use asterlatch::time::Point;
+use asterlatch_takeover::ledger::Record;
 use std::collections::VecDeque;
 use std::net::TcpStream;
+use std::os::fd::AsFd;
 
 /// News of a client.
 pub enum Heard {
@@ -15,6 +18,8 @@
         client: u32,
         /// Its number on this connection, by which it is answered.
         number: u32,
+        /// Where it ends among all that was read from this client here.
+        end: u64,
         text: Text,
         at: Point,
     },
@@ -109,6 +114,8 @@
     pub skip: usize,
     /// What was read and not taken.
     pub input: Vec<u8>,
+    /// By what number the ledger knows it, where it came from another process.
+    pub handed: Option<u64>,
 }
 
 /// What a client's connection is told.
@@ -148,12 +155,22 @@
     begun: bool,
     /// Of an oversized query, still to be passed over.
     skip: usize,
-    /// Statements without an answer, and answers that wait for those before them, in the order of their numbers.
-    row: VecDeque<Option<Vec<u8>>>,
+    /// Statements without an answer, and answers that wait for those before them, in the order of their numbers; each
+    /// with where its message ends.
+    row: VecDeque<(u64, Option<Vec<u8>>)>,
     /// The number of the first in the row.
     first: u32,
     /// For statements that have no answer yet.
     room: Room,
+    /// How much of all that was read is taken, and how much was there in front of the message that is read now.
+    taken: u64,
+    at: u64,
+    /// Bytes said that the ledger knows of, and how many of them are out.
+    said: u64,
+    settled: u64,
+    witness: Option<Witness>,
+    /// By what number the ledger knows a client that came from another process.
+    handed: Option<u64>,
 }
 
 impl Session {
@@ -168,6 +185,12 @@
             row: VecDeque::new(),
             first: 0,
             room,
+            taken: 0,
+            at: 0,
+            said: 0,
+            settled: 0,
+            witness: None,
+            handed: None,
         }
     }
 
@@ -180,9 +203,35 @@
         };
         let mut session = Session::new(client, room);
         (session.state, session.skip) = (state, standing.skip);
+        session.handed = standing.handed;
         session
     }
 
+    /// Has all that is done be written down before.
+    pub fn witnessed(mut self, witness: Option<Witness>) -> Session {
+        self.witness = witness;
+        self
+    }
+
+    fn note(&self, record: impl FnOnce() -> Record) {
+        if let Some(witness) = self.witness.as_ref().filter(|w| w.is_on()) {
+            witness.put(&record(), None);
+        }
+    }
+
+    /// So many bytes are to be written that answer all before `dealt`.
+    fn says(&mut self, length: usize, dealt: u64) {
+        self.said += length as u64;
+        self.note(|| Record::Says {
+            client: self.client,
+            length: length as u64,
+            settled: self.settled,
+            dealt,
+            opened: self.state == State::Open,
+            skip: self.skip as u64,
+        });
+    }
+
     fn close(&mut self, out: &mut Outbox<Heard>) {
         out.close = true;
         self.state = State::Over;
@@ -204,6 +253,7 @@
             Opening::Partial => 0,
             Opening::Encryption { whole } => {
                 out.bytes.push(b'N');
+                self.says(1, self.at + whole as u64);
                 whole
             }
             Opening::Startup {
@@ -211,11 +261,13 @@
                 minor,
                 unknown,
             } => {
+                let before = out.bytes.len();
                 if minor > 0 || !unknown.is_empty() {
                     messages::put_negotiation(&mut out.bytes, &unknown);
                 }
                 messages::put_welcome(&mut out.bytes);
                 self.rest(at, out);
+                self.says(out.bytes.len() - before, self.at + whole as u64);
                 whole
             }
             Opening::Cancel => {
@@ -245,7 +297,7 @@
                 whole,
             } if self.row.len() < ROW => match messages::text(body) {
                 Some(text) => {
-                    self.query(text, at, out);
+                    self.query(text, self.at + whole as u64, at, out);
                     whole
                 }
                 None if self.row.is_empty() => {
@@ -261,9 +313,10 @@
             }
             Front::TooLong { kind: b'Q', whole } => {
                 out.notices.push(Heard::Oversized);
-                self.row.push_back(Some(Final::from(TOO_LARGE).into_bytes()));
-                self.flush(out);
                 self.skip = whole;
+                let answer = Final::from(TOO_LARGE).into_bytes();
+                self.row.push_back((self.at, Some(answer)));
+                self.flush(out);
                 0
             }
             Front::Message {
@@ -280,33 +333,34 @@
     }
 
     /// Gives a query its place in the row, and with it the answer of one that needs no member.
-    fn query(&mut self, text: &str, at: Point, out: &mut Outbox<Heard>) {
+    fn query(&mut self, text: &str, end: u64, at: Point, out: &mut Outbox<Heard>) {
         if text.trim_matches([' ', '\t', '\r', '\n', ';']).is_empty() {
             // No news: a client that sends nothing else would fill the owner's queue.
             let mut said = Vec::new();
             messages::put(&mut said, b'I', &[]);
             messages::put_ready(&mut said);
-            self.row.push_back(Some(said));
+            self.row.push_back((end, Some(said)));
         } else if let Some(text) = Text::new(text, &self.room) {
             let (client, number) = (self.client, self.first.wrapping_add(self.row.len() as u32));
-            self.row.push_back(None);
+            self.row.push_back((end, None));
             out.notices.push(Heard::Statement {
                 client,
                 number,
+                end,
                 text,
                 at,
             });
         } else {
             out.notices.push(Heard::NoRoom);
-            self.row.push_back(Some(Final::from(NO_ROOM).into_bytes()));
+            self.row.push_back((end, Some(Final::from(NO_ROOM).into_bytes())));
         }
         self.flush(out);
     }
 
     /// Writes the answers that none before them keeps back.
     fn flush(&mut self, out: &mut Outbox<Heard>) {
-        while let Some(answer) = self.row.front_mut().and_then(Option::take) {
-            self.row.pop_front();
+        while let Some((end, Some(answer))) = self.row.pop_front_if(|(_, answer)| answer.is_some()) {
+            self.says(answer.len(), end);
             self.first = self.first.wrapping_add(1);
             // Most often nothing waits to be written: then the bytes needn't be copied.
             if out.bytes.is_empty() {
@@ -320,7 +374,7 @@
     fn answer(&mut self, number: u32, answer: Final, at: Point, out: &mut Outbox<Heard>) {
         let place = number.wrapping_sub(self.first) as usize;
         // An answer to a statement that has its own would be a second one, and is left out.
-        let open = self.row.get_mut(place).filter(|a| a.is_none());
+        let open = self.row.get_mut(place).map(|(_, a)| a).filter(|a| a.is_none());
         let Some(open) = open.filter(|_| self.state == State::Open) else {
             return;
         };
@@ -347,6 +401,35 @@
     type Command = Say;
     type Notice = Heard;
 
+    fn stands(&mut self, stream: &TcpStream) {
+        let Some(witness) = &self.witness else { return };
+        let client = self.client;
+        match self.handed {
+            Some(handed) => witness.put(&Record::Adopted { client, handed }, None),
+            None => witness.put(&Record::Arrived { client }, Some(stream.as_fd())),
+        }
+    }
+
+    fn is_shared(&self) -> bool {
+        self.witness.is_some()
+    }
+
+    fn is_watched(&self) -> bool {
+        self.witness.as_ref().is_some_and(Witness::is_on)
+    }
+
+    fn reads(&mut self, bytes: &[u8]) {
+        self.note(|| Record::Reads {
+            client: self.client,
+            settled: self.settled,
+            bytes: bytes.to_vec(),
+        });
+    }
+
+    fn written(&mut self, _out: &mut Outbox<Heard>) {
+        self.settled = self.said;
+    }
+
     fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Heard>) {
         let mut used = 0;
         loop {
@@ -357,6 +440,7 @@
             let skipped = self.skip.min(input.len() - used);
             used += skipped;
             self.skip -= skipped;
+            self.at = self.taken + used as u64;
             let taken = match self.state {
                 _ if self.skip > 0 => break,
                 State::Opening => self.open(&input[used..], at, out),
@@ -369,6 +453,7 @@
             }
         }
         input.drain(..used);
+        self.taken += used as u64;
         let waits = self.state == State::Open && self.row.is_empty();
         let begun = waits && (self.skip > 0 || !input.is_empty());
         let (client, since) = (self.client, at);
@@ -417,12 +502,14 @@
                 opened,
                 skip: self.skip,
                 input,
+                handed: None,
             },
         });
     }
 
     fn ended(&mut self, _at: Point, out: &mut Outbox<Heard>) {
         self.state = State::Over;
+        self.note(|| Record::Gone { client: self.client });
         out.notices.push(Heard::Gone { client: self.client });
     }
 
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -17,10 +17,12 @@
 use crate::transport::listener::{Arrival, Listening};
 use crate::transport::room::Room as Memory;
 use crate::transport::stream::Line;
+use crate::transport::witness::Witness;
 use asterlatch::choice;
 use asterlatch::interface::*;
 use asterlatch::time::{Point, Span};
 use asterlatch_settings::Decoding;
+use asterlatch_takeover::ledger::{Record, Verdict, Verdicts};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -41,6 +43,8 @@
     pub discovery: calls::Dial,
     pub adopt: Adopt,
     pub adopt_connection: AdoptConnection,
+    /// Writes down what goes out, where another process is to go on if this one dies.
+    pub witness: Option<Witness>,
     pub given: Given,
     pub limits: Limits,
     /// For clients and for members.
@@ -52,6 +56,8 @@
     pub stream: TcpStream,
     pub standing: client::Standing,
     pub has_asked: bool,
+    /// How what was read from it by a process that has died is to be answered.
+    pub verdicts: Verdicts,
 }
 
 /// Goes on with a client's connection under this number.
@@ -128,6 +134,11 @@
     adopt: Adopt,
     adopt_connection: AdoptConnection,
     adopted: u32,
+    witness: Option<Witness>,
+    /// Clients of a process that has died, some of whose statements may have run.
+    verdicts: BTreeMap<u32, Verdicts>,
+    /// By workload: a statement that may have run does no harm when its client repeats it.
+    harmless: Vec<bool>,
     /// Idle connections to members that are to go on in another process.
     pub moved_connections: Vec<(u32, TcpStream)>,
     /// Clients that are to go on in another process.
@@ -177,6 +188,13 @@
             draining: false,
             adopt: place.adopt,
             adopt_connection: place.adopt_connection,
+            witness: place.witness,
+            verdicts: BTreeMap::new(),
+            harmless: settings
+                .workloads
+                .iter()
+                .map(choice::repeats_harmlessly)
+                .collect(),
             moved_connections: Vec::new(),
             adopted: 0,
             moved: Vec::new(),
@@ -308,6 +326,11 @@
         self.memory.0.taken() + self.memory.1.taken()
     }
 
+    /// Bytes that clients may fill.
+    pub fn clients_memory(&self) -> usize {
+        self.memory.0.most()
+    }
+
     /// What was learned, as another process goes on from it.
     pub fn learned(&self) -> Learned<'_> {
         (&self.module, &self.members)
@@ -356,6 +379,10 @@
         let id = self.adopted;
         match (self.adopt)(id, moved.stream, moved.standing) {
             Ok(line) => {
+                // Its news lie in the queue, and come behind this.
+                if moved.verdicts != Verdicts::default() {
+                    self.verdicts.insert(id, moved.verdicts);
+                }
                 self.arrived(now, Arrival::Client(id, line));
                 self.figures.clients_adopted += 1;
                 if moved.has_asked {
@@ -425,11 +452,12 @@
             client::Heard::Statement {
                 client,
                 number,
+                end,
                 text,
                 at,
             } => {
-                if self.clients.asks(client) {
-                    self.statement(now, (client, number), text, at);
+                if self.clients.asks(client) && !self.judged(client, number, end) {
+                    self.statement(now, (client, number, end), text, at);
                 }
             }
             client::Heard::Idle { client, since } => self.clients.rests(client, since),
@@ -453,9 +481,11 @@
                     stream,
                     standing,
                     has_asked,
+                    verdicts: Verdicts::default(),
                 });
             }
             client::Heard::Gone { client } => {
+                self.verdicts.remove(&client);
                 for stmt in self.clients.gone(client) {
                     if self.statements.release(stmt).is_none() {
                         continue;
@@ -468,7 +498,31 @@
         }
     }
 
-    fn statement(&mut self, now: Point, (client, number): (u32, u32), text: Text, at: Point) {
+    /// Answers a statement that a process has read which died, as far as that is known; whether it did.
+    fn judged(&mut self, client: u32, number: u32, end: u64) -> bool {
+        let Some(verdicts) = self.verdicts.get(&client) else {
+            return false;
+        };
+        let verdict = verdicts.of(end);
+        if verdicts.is_over(end) {
+            self.verdicts.remove(&client);
+        }
+        let (stmt, hold_off) = (0, Span(0));
+        let (count, answer) = match verdict {
+            Verdict::Open => return false,
+            Verdict::Rejected => (
+                &mut self.figures.taken_back_rejected,
+                Answer::Rejected { stmt, hold_off },
+            ),
+            Verdict::Aborted => (&mut self.figures.taken_back_aborted, Answer::Aborted { stmt }),
+        };
+        *count += 1;
+        let (_, told) = endings::of_answer(&answer);
+        self.clients.say(client, Say::Answer(number, told));
+        true
+    }
+
+    fn statement(&mut self, now: Point, (client, number, end): (u32, u32, u64), text: Text, at: Point) {
         let marked = comment::read(&text.text);
         let length = text.text.len();
         let (workload, marked) = match marked.and_then(|m| Ok((self.routable(&m, length)?, m))) {
@@ -485,9 +539,13 @@
         let longest = own.map_or(self.limits.longest_timeout, |own| {
             own.min(self.limits.longest_timeout)
         });
-        let (id, times_out) = self
-            .statements
-            .hold((client, number), text, &marked, (at, longest));
+        let (id, times_out) = self.statements.hold(
+            (client, number, end),
+            text,
+            &marked,
+            (at, longest),
+            self.harmless[workload],
+        );
         self.clients.waits_for(client, id);
         let sessions = matches!(self.freshness[workload], Freshness::Session | Freshness::Write);
         let key = marked.key.as_deref().filter(|_| sessions);
@@ -578,6 +636,16 @@
             Kind::Probe => Some(messages::probe(self.decoding.reported)),
         };
         let address = self.members.address(errand.member);
+        if let (Kind::Execution { stmt, .. }, Some(witness)) = (errand.kind, &self.witness) {
+            if let Some((client, end, harmless)) = self.statements.place(stmt).filter(|_| witness.is_on()) {
+                let out = Record::Out {
+                    client,
+                    end,
+                    harmless,
+                };
+                witness.put(&out, None);
+            }
+        }
         let started = match query.zip(address) {
             Some((query, address)) => self.errands.start(now, errand, address, query),
             None => Err(Ending::NeverSent),
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -13,6 +13,10 @@
     number: u32,
     /// What its client calls it.
     name: u64,
+    /// Where it ends among all that was read from its client here.
+    end: u64,
+    /// It does no harm when its client repeats it though it may have run.
+    harmless: bool,
     text: Text,
     left_at: Range<usize>,
     times_out: Point,
@@ -44,16 +48,19 @@
     /// client's or the longest that is allowed.
     pub fn hold(
         &mut self,
-        (client, number): (u32, u32),
+        (client, number, end): (u32, u32, u64),
         text: Text,
         marked: &Marked,
         (at, longest): (Point, Span),
+        harmless: bool,
     ) -> (u32, Point) {
         self.next = self.next.wrapping_add(1);
         let times_out = at + Span::millis(marked.left_ms).min(longest);
         let held = Held {
             client,
             number,
+            end,
+            harmless,
             name: marked.id,
             text,
             left_at: marked.left_at.clone(),
@@ -82,6 +89,12 @@
         Some((number, until.min(held.times_out)))
     }
 
+    /// Whose it is, where it ends among what was read from there, and whether repeating it is harmless.
+    pub fn place(&self, id: u32) -> Option<(u32, u64, bool)> {
+        let held = self.held.get(&id)?;
+        Some((held.client, held.end, held.harmless))
+    }
+
     /// What goes to a member that is waited for until then. Rounded down, so that no member works for longer
     /// than anybody waits.
     pub fn query(&self, id: u32, now: Point, until: Point) -> Option<Vec<u8>> {
--- a/crates/driver/src/transport/mod.rs
+++ b/crates/driver/src/transport/mod.rs
@@ -43,7 +43,7 @@
     NUMBERS.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Takes a descriptor out of the event loop before it is closed here while another process holds the same socket. The
+/// Takes a descriptor out of the event loop before it is closed here while another process holds the same socket, or may. The
 /// loop's own word comes after the close, when the kernel knows the number no more but keeps the registration for as long
 /// as anybody holds the socket: its next event would come for memory that is free. It took a process down in one of some
 /// dozen upgrades under load.
@@ -72,3 +72,4 @@
 pub mod pool;
 pub mod room;
 pub mod stream;
+pub mod witness;
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -8,7 +8,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::RefCell;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
 
 /// Read at once.
@@ -42,6 +42,18 @@
 pub trait Dialogue: Send + 'static {
     type Command: Send + 'static;
     type Notice: Send + 'static;
+    /// It runs on this socket.
+    fn stands(&mut self, _stream: &TcpStream) {}
+    /// Another process holds the same socket: a close here alone ends nothing.
+    fn is_shared(&self) -> bool {
+        false
+    }
+    /// Whether what is read is to be told before.
+    fn is_watched(&self) -> bool {
+        false
+    }
+    /// These bytes lie at the socket, and are read next.
+    fn reads(&mut self, _bytes: &[u8]) {}
     /// The connection stands.
     fn opened(&mut self, _out: &mut Outbox<Self::Notice>) {}
     /// Takes what it can from the front of `input`, which arrived by `at`.
@@ -158,8 +170,16 @@
         if !self.hungry() {
             return Flow::Wait;
         }
+        let watched = self.dialogue.is_watched();
         let got = READ.with_borrow_mut(|buffer| {
-            let got = self.io.inner().read(buffer);
+            let got = match watched {
+                // A killed process must not take along what it has read.
+                true => self.io.inner().peek(buffer).and_then(|n| {
+                    self.dialogue.reads(&buffer[..n]);
+                    self.io.inner().read(&mut buffer[..n])
+                }),
+                false => self.io.inner().read(buffer),
+            };
             self.input.extend(&buffer[..*got.as_ref().unwrap_or(&0)]);
             got
         });
@@ -292,6 +312,11 @@
             mut out,
             ..
         } = self;
+        if dialogue.is_shared() {
+            super::forget(io.inner());
+            // One whose peer is gone can't be shut down, and needn't.
+            let _ = io.inner().shutdown(Shutdown::Both);
+        }
         // Closed before its end is told, so that no more descriptors are open than the owner counts.
         close(io);
         dialogue.ended(clock.now(), &mut out);
@@ -335,6 +360,7 @@
     M: From<D::Notice> + Send + 'static,
 {
     stream.set_nodelay(true)?;
+    dialogue.stands(&stream);
     let alone = super::numbers();
     let io = CoIo::new(stream).map_err(|_| io::Error::other("not registered with the event loop"))?;
     drop(alone);
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -103,6 +103,7 @@
         let limits = Limits::default();
         let rooms = given.rooms(&limits);
         let place = Place {
+            witness: None,
             members: Box::new(move |id, address| match f.borrow_mut().take() {
                 Some(code) => Err(io::Error::from_raw_os_error(code)),
                 None => {
@@ -203,6 +204,7 @@
         let text = Text::new(&text, &self.room).expect("has room");
         let heard = Client::Statement {
             client,
+            end: 0,
             number,
             text,
             at,
@@ -458,6 +460,7 @@
         s.now,
         Input::Client(Client::Statement {
             client,
+            end: 0,
             number,
             text,
             at,
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -16,7 +16,10 @@
 //! The old one accepts again only once the new one's end is certain; the new one accepts only once it was told that the
 //! old one accepts no more. The socket tells of a death only after what was sent before it, so a commit that was sent is
 //! heard even if its sender is gone by then.
+//!
+//! `ledger` is what the old one knows of the clients of the new one on probation, and goes on with if that dies.
 
+pub mod ledger;
 pub mod message;
 pub mod new;
 pub mod old;
--- a/crates/takeover/src/message.rs
+++ b/crates/takeover/src/message.rs
@@ -4,7 +4,7 @@
 use sha2::{Digest, Sha256};
 
 /// Of the protocol. Another one is refused before anything moves.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// The longest frame: some ten thousand members' state.
 pub const LONGEST: usize = 32 * 1024 * 1024;
 
@@ -12,7 +12,7 @@
 pub enum Message {
     /// New: it runs, and speaks this version.
     Hello { version: u32 },
-    /// Old: what was learned, with the listener beside it.
+    /// Old: what was learned, with the listener, the ledger's socket and what the ledger is given up with beside it.
     State(Vec<u8>),
     /// New: it could read everything and could serve.
     Ready,
@@ -35,6 +35,8 @@
 /// What is known of a client that moves.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Client {
+    /// By which the ledger knows it.
+    pub handed: u64,
     /// Its startup is over.
     pub opened: bool,
     /// It has sent a statement before.
@@ -45,14 +47,13 @@
     pub input: Vec<u8>,
 }
 
-impl Message {
-    /// How many descriptors go beside it: what is read together may belong to the message before.
-    pub fn descriptors(&self) -> usize {
-        usize::from(matches!(
-            self,
-            Message::State(_) | Message::Client(_) | Message::Member(_)
-        ))
-    }
+/// What goes over a socket in frames.
+pub trait Framed: Sized {
+    fn frame(&self) -> Result<Vec<u8>, Fault>;
+    /// The first of `input` and how many bytes it takes; nothing where more bytes are needed.
+    fn next(input: &[u8]) -> Result<Option<(Self, usize)>, Fault>;
+    /// How many descriptors go beside it: what is read together may belong to the one before.
+    fn descriptors(&self) -> usize;
 }
 
 const HEAD: usize = 4 + 32;
@@ -64,33 +65,41 @@
     Unreadable,
 }
 
-pub fn frame(message: &Message) -> Result<Vec<u8>, Fault> {
-    let body = postcard::to_stdvec(message).map_err(|_| Fault::Unreadable)?;
-    if body.len() > LONGEST {
-        return Err(Fault::TooLong);
+impl Framed for Message {
+    fn frame(&self) -> Result<Vec<u8>, Fault> {
+        let body = postcard::to_stdvec(self).map_err(|_| Fault::Unreadable)?;
+        if body.len() > LONGEST {
+            return Err(Fault::TooLong);
+        }
+        let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+        bytes.extend(Sha256::digest(&body));
+        bytes.extend(body);
+        Ok(bytes)
     }
-    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
-    bytes.extend(Sha256::digest(&body));
-    bytes.extend(body);
-    Ok(bytes)
-}
 
-/// The first message of `input`, which is taken from it; nothing where more bytes are needed.
-pub fn next(input: &mut Vec<u8>) -> Result<Option<Message>, Fault> {
-    let Some(head) = input.get(..HEAD) else {
-        return Ok(None);
-    };
-    let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
-    if length > LONGEST {
-        return Err(Fault::TooLong);
+    fn next(input: &[u8]) -> Result<Option<(Message, usize)>, Fault> {
+        let Some(head) = input.get(..HEAD) else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        if length > LONGEST {
+            return Err(Fault::TooLong);
+        }
+        let Some(body) = input.get(HEAD..HEAD + length) else {
+            return Ok(None);
+        };
+        if Sha256::digest(body).as_slice() != &head[4..] {
+            return Err(Fault::OtherHash);
+        }
+        let message = postcard::from_bytes(body).map_err(|_| Fault::Unreadable)?;
+        Ok(Some((message, HEAD + length)))
     }
-    let Some(body) = input.get(HEAD..HEAD + length) else {
-        return Ok(None);
-    };
-    if Sha256::digest(body).as_slice() != &head[4..] {
-        return Err(Fault::OtherHash);
+
+    fn descriptors(&self) -> usize {
+        match self {
+            Message::State(_) => 3,
+            Message::Client(_) | Message::Member(_) => 1,
+            _ => 0,
+        }
     }
-    let message = postcard::from_bytes(body).map_err(|_| Fault::Unreadable)?;
-    input.drain(..HEAD + length);
-    Ok(Some(message))
 }
--- a/crates/takeover/src/old.rs
+++ b/crates/takeover/src/old.rs
@@ -73,6 +73,8 @@
     Accept,
     /// Let clients go between two statements: the new one takes them.
     SendAway,
+    /// Go on with the clients of the new process, which is dead.
+    TakeBack,
     /// Kill the new process, and tell when it is gone.
     Kill,
     /// The service is the new one's: leave once all is answered.
@@ -255,8 +257,8 @@
             _ => vec![failed],
         };
         self.go(Phase::Serving, None);
-        let again = accept.then_some(Effect::Accept);
-        Some(again.into_iter().chain(effects).collect())
+        let again = accept.then_some([Effect::Accept, Effect::TakeBack]);
+        Some(again.into_iter().flatten().chain(effects).collect())
     }
 
     /// What isn't in time, or makes no sense here: the new one may hang, or be none of ours. It must be gone before
--- a/crates/takeover/src/wire.rs
+++ b/crates/takeover/src/wire.rs
@@ -1,12 +1,13 @@
 //! Messages over a Unix socket, with descriptors beside them.
 
-use crate::message::{frame, next, Fault, Message};
+use crate::message::{Fault, Framed, Message};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, IoSliceMut};
+use std::marker::PhantomData;
 use std::mem::MaybeUninit;
 use std::os::fd::{BorrowedFd, OwnedFd};
 use std::os::unix::net::UnixStream;
@@ -15,8 +16,8 @@
 const MOST_DESCRIPTORS: usize = 8;
 
 /// Sends a message; descriptors go with its first byte.
-pub fn send(socket: &UnixStream, message: &Message, descriptors: &[BorrowedFd]) -> io::Result<()> {
-    let bytes = frame(message).map_err(|f| io::Error::other(format!("{f:?}")))?;
+pub fn send(socket: &UnixStream, message: &impl Framed, descriptors: &[BorrowedFd]) -> io::Result<()> {
+    let bytes = message.frame().map_err(|f| io::Error::other(format!("{f:?}")))?;
     let mut sent = 0;
     while sent < bytes.len() {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_DESCRIPTORS))];
@@ -39,34 +40,40 @@
 
 /// What came last.
 #[derive(Debug)]
-pub enum Came {
-    Message(Message, Vec<OwnedFd>),
+pub enum Came<T = Message> {
+    Message(T, Vec<OwnedFd>),
     Garbled(Fault),
     Ended,
 }
 
 /// Reads one message after another from a socket.
-pub struct Reader {
+pub struct Reader<T = Message> {
     socket: UnixStream,
     input: Vec<u8>,
+    /// How much of it is taken: many small ones come at once.
+    used: usize,
     descriptors: VecDeque<OwnedFd>,
+    kind: PhantomData<T>,
 }
 
-impl Reader {
-    pub fn new(socket: UnixStream) -> Reader {
+impl<T: Framed> Reader<T> {
+    pub fn new(socket: UnixStream) -> Reader<T> {
         Reader {
             socket,
             input: Vec::new(),
+            used: 0,
             descriptors: VecDeque::new(),
+            kind: PhantomData,
         }
     }
 
     /// The next message, waited for, with its own of the descriptors that came by then. The kernel may give the end of
     /// one message and the descriptors of the next together.
-    pub fn read(&mut self) -> Came {
+    pub fn read(&mut self) -> Came<T> {
         loop {
-            match next(&mut self.input) {
-                Ok(Some(message)) => {
+            match T::next(&self.input[self.used..]) {
+                Ok(Some((message, length))) => {
+                    self.used += length;
                     let own = message.descriptors().min(self.descriptors.len());
                     let own = self.descriptors.drain(..own).collect();
                     return Came::Message(message, own);
@@ -74,6 +81,7 @@
                 Err(fault) => return Came::Garbled(fault),
                 Ok(None) => {}
             }
+            self.input.drain(..std::mem::take(&mut self.used));
             let mut chunk = [0; 64 * 1024];
             let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_DESCRIPTORS))];
             let mut beside = RecvAncillaryBuffer::new(&mut space);
--- a/crates/takeover/tests/model.rs
+++ b/crates/takeover/tests/model.rs
@@ -16,6 +16,8 @@
     AcceptWhenReady,
     /// The old one leaves when the new one accepts, without waiting for its probation.
     LeaveAtOnce,
+    /// Clients are taken back from what was killed and isn't gone.
+    TakeBackAtOnce,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -32,6 +34,8 @@
     new_accepts: bool,
     /// A signal on its way.
     killing: bool,
+    /// Clients were taken back from a process that lives.
+    robbed: bool,
     to_old: Vec<Message>,
     to_new: Vec<Message>,
     upgrades: u8,
@@ -99,6 +103,9 @@
         if self.mistake == Some(Mistake::LeaveAtOnce) && effects.contains(&old::Effect::SendAway) {
             effects.push(old::Effect::Leave);
         }
+        if self.mistake == Some(Mistake::TakeBackAtOnce) && effects.contains(&old::Effect::Kill) {
+            effects.push(old::Effect::TakeBack);
+        }
         effects.retain(|e| !matches!(e, old::Effect::Tell(_) | old::Effect::SendAway));
         w.old_todo.extend(effects);
     }
@@ -129,6 +136,7 @@
             old::Effect::Say(message) => w.to_new.push(message),
             old::Effect::StopAccepting => w.old_accepts = false,
             old::Effect::Accept => w.old_accepts = true,
+            old::Effect::TakeBack => w.robbed |= w.new_alive,
             old::Effect::Kill => w.killing = true,
             old::Effect::Leave => {
                 (w.old_alive, w.old_accepts, w.old_left) = (false, false, true);
@@ -170,6 +178,7 @@
             new_alive: false,
             new_accepts: false,
             killing: false,
+            robbed: false,
             to_old: Vec::new(),
             to_new: Vec::new(),
             upgrades: 0,
@@ -278,6 +287,9 @@
                     !w.old_left || proven
                 },
             ),
+            Property::always("clients are taken back only from the dead", |_, w: &World| {
+                !w.robbed
+            }),
             Property::sometimes("an upgrade is done", |_, w: &World| w.old_left && w.new_accepts),
             Property::sometimes(
                 "the old one serves again after the new one served",
@@ -321,6 +333,7 @@
         (Mistake::CommitFirst, "never do both accept"),
         (Mistake::ResumeBeforeTheEnd, "never do both accept"),
         (Mistake::AcceptWhenReady, "never do both accept"),
+        (Mistake::TakeBackAtOnce, "clients are taken back only from the dead"),
         (Mistake::LeaveAtOnce, "the old one leaves only a service that is the new one's"),
     ];
     for (mistake, property) in cases {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -117,6 +117,11 @@
     matches!(ending, TurnedAway | NoConnection | NeverSent | Missed)
 }
 
+/// Whether a client may repeat such a statement under another id, though it may have run.
+pub fn repeats_harmlessly(w: &WorkloadSettings) -> bool {
+    w.repeat == Repeat::Idempotent || w.repeat == Repeat::Deduplicated && w.scope == Scope::All
+}
+
 fn needs_primary(settings: &Settings, w: usize) -> bool {
     let needs = settings.workloads[w].freshness;
     needs == Freshness::Write || needs == Freshness::Fresh
@@ -813,9 +818,7 @@
     fn finish(&mut self, id: u32) {
         let Some(s) = self.stmts.get(&id) else { return };
         let w = &self.settings.workloads[s.workload];
-        let dropped_anywhere = w.repeat == Repeat::Deduplicated && w.scope == Scope::All;
-        let untouched = s.doubt.is_none() && !self.is_out(id);
-        let harmless = w.repeat == Repeat::Idempotent || dropped_anywhere || untouched;
+        let harmless = repeats_harmlessly(w) || s.doubt.is_none() && !self.is_out(id);
         // A repeat that may still count should come at once; any other only adds to the load.
         let worthwhile = self.now + self.typical[s.workload] < s.slo_at;
         let hold_off = self.settings.max_hold_off * if worthwhile { 0.0 } else { 1.0 };
