Both processes of an upgrade share bounds, drains and limits; no room is refused before it begins

While two processes served side by side each counted for itself. Change: what the leaving one has out counts against the other's bounds (words over the takeover's socket), cold members are the staying one's alone and count as just sent to, a drain told to either binds both unless the member has started anew since, and an upgrade for which descriptors or memory of both together don't suffice is refused with its figures. On probation a client counts for two descriptors.

--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -137,6 +137,7 @@
         }
         operators.steer(owner, &mut phases, now, machine);
         upgrades.bound(operators.upgrade_times);
+        upgrades.room = owner.most();
         upgrades.steer(owner, now, takeover.is_none() && !told_to_leave);
         told_to_leave |= upgrades.is_over;
         if let Some(t) = &mut takeover {
--- a/crates/driver/src/program/upgrade.rs
+++ b/crates/driver/src/program/upgrade.rs
@@ -12,6 +12,8 @@
 use crate::transport::witness::Witness;
 use asterlatch::choice::Driver;
 use asterlatch::time::{Point, Span};
+use asterlatch_takeover::fit;
+use asterlatch_takeover::joint::{Joint, Word};
 use asterlatch_takeover::ledger::Verdicts;
 use asterlatch_takeover::message::{Client, Message};
 use asterlatch_takeover::new::{self, New};
@@ -111,6 +113,10 @@
     /// By which the new process tells that the ledger isn't whole.
     given_up: Option<OwnedFd>,
     handed: u64,
+    /// What the new process was told that binds both.
+    joint: Joint,
+    /// Descriptors and bytes that all processes together may have.
+    pub room: (usize, usize),
     /// Messages with a client or a member's connection that have not left yet.
     pending: Arc<AtomicUsize>,
     child: Option<OwnedFd>,
@@ -135,6 +141,8 @@
             kept: Kept::default(),
             given_up: None,
             handed: 0,
+            joint: Joint::default(),
+            room: (0, 0),
             pending: Arc::default(),
             child: None,
             pid: 0,
@@ -162,10 +170,47 @@
             reply.map(|mut r| writeln!(r, "failed: another upgrade is under way"));
             return;
         }
+        if let Err(why) = fit::check(&self.measure(owner)) {
+            log!(owner.observer, now, "upgrade", "not begun: {why}");
+            reply.map(|mut r| writeln!(r, "failed: {why}"));
+            return;
+        }
         (self.binary, self.reply) = (binary, reply);
         self.take(owner, now, old::Input::Ask);
     }
 
+    /// What both processes would have and need. What the kernel doesn't tell is taken for nothing.
+    fn measure(&self, owner: &Owner<Log>) -> fit::Room {
+        let held = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
+        let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+        let pages: u64 = pages.split(' ').nth(1).and_then(|p| p.parse().ok()).unwrap_or(0);
+        let (clients, messages) = owner.held();
+        fit::Room {
+            descriptors: self.room.0,
+            held,
+            clients,
+            memory: self.room.1 as u64,
+            resident: pages * rustix::param::page_size() as u64,
+            messages: messages as u64,
+        }
+    }
+
+    /// Has the other process know what binds both.
+    fn tell_joint(&mut self, owner: &mut Owner<Log>) {
+        let drains = std::mem::take(&mut owner.drains);
+        let Some(link) = self.link.as_ref().filter(|_| self.machine.is_shared()) else {
+            return;
+        };
+        let drains = drains
+            .iter()
+            .filter_map(|(m, since)| self.joint.drains(m, *since));
+        let mut words: Vec<Word> = drains.collect();
+        words.extend(self.joint.open(owner.out()));
+        if !words.is_empty() {
+            let _ = link.send((Message::Joint(words), Vec::new()));
+        }
+    }
+
     /// The process is told to leave.
     pub fn leave(&mut self, owner: &mut Owner<Log>, now: Point) {
         self.take(owner, now, old::Input::Leave);
@@ -180,12 +225,16 @@
             }
         }
         while let Ok(input) = self.heard.try_recv() {
+            if let old::Input::Heard(Message::Joint(words)) = &input {
+                bind(owner, now, &mut self.joint, words);
+            }
             self.take(owner, now, input);
         }
         if self.machine.next_at() <= now {
             self.take(owner, now, old::Input::Time);
         }
         self.move_clients(owner, now);
+        self.tell_joint(owner);
     }
 
     pub fn next_at(&self) -> Point {
@@ -215,8 +264,15 @@
                     ),
                 },
                 old::Effect::Say(message) => self.say(message, Vec::new()),
-                old::Effect::StopAccepting => owner.pause(true),
-                old::Effect::Accept => owner.pause(false),
+                old::Effect::StopAccepting => {
+                    owner.pause(true);
+                    self.joint = Joint::default();
+                    owner.share(now, true, true);
+                }
+                old::Effect::Accept => {
+                    owner.share(now, false, true);
+                    owner.pause(false);
+                }
                 old::Effect::SendAway => owner.hand_clients_over(),
                 old::Effect::TakeBack => self.take_back(owner, now),
                 old::Effect::Kill => self.kill(),
@@ -350,6 +406,16 @@
     }
 }
 
+/// Takes over what the other process tells that binds both.
+fn bind(owner: &mut Owner<Log>, now: Point, joint: &mut Joint, words: &[Word]) {
+    for word in words {
+        if let Word::Drains { member, since_ms } = word {
+            joint.heard(member, *since_ms);
+        }
+        owner.bind(now, word);
+    }
+}
+
 type Beside = (Message, Vec<OwnedFd>);
 
 /// What goes to the new process, and the thread that reads its ledger.
@@ -463,6 +529,9 @@
     /// To write the ledger into, and to give it up with.
     ledger: Option<(UnixStream, OwnedFd)>,
     witness: Option<Witness>,
+    joint: Joint,
+    /// The former process serves beside this one, as its members and descriptors are to know.
+    is_shared: bool,
     started: Point,
 }
 
@@ -490,6 +559,8 @@
         listener: None,
         ledger: None,
         witness: None,
+        joint: Joint::default(),
+        is_shared: false,
         started: Point(machine_us()),
     }))
 }
@@ -641,10 +712,18 @@
     pub fn steer(&mut self, owner: &mut Owner<Log>, now: Point) {
         let mut effects = Vec::new();
         let machine_now = self.machine_now();
+        // What the former one may have sent since it wrote down what it knew is reckoned with from the first.
+        if !self.is_shared && !self.ended {
+            self.is_shared = true;
+            owner.share(now, true, false);
+        }
         while let Some(Ok(heard)) = self.heard.as_ref().map(Receiver::try_recv) {
             match heard {
                 Heard::Moved(moved) => owner.adopt(now, moved),
                 Heard::Member(member, stream) => owner.adopt_connection(now, member, stream),
+                Heard::Word(new::Input::Heard(Message::Joint(words))) => {
+                    bind(owner, now, &mut self.joint, &words);
+                }
                 Heard::Word(input) => {
                     if matches!(input, new::Input::Garbled | new::Input::Ended) {
                         self.ended = true;
@@ -681,6 +760,19 @@
                 _ => {}
             }
         }
+        // Nothing of the former one is out any more.
+        if self.ended && std::mem::take(&mut self.is_shared) {
+            owner.forget_beside(now);
+            owner.share(now, false, false);
+        }
+        let drains = std::mem::take(&mut owner.drains);
+        let words: Vec<Word> = drains
+            .iter()
+            .filter_map(|(m, since)| self.joint.drains(m, *since))
+            .collect();
+        if !words.is_empty() && !self.ended {
+            self.say(&Message::Joint(words));
+        }
         // Whoever is proven, or alone, answers for its clients itself; not before the former one was told so.
         if self.machine.phase == new::Phase::Owner {
             self.witness.take().inspect(Witness::stop);
--- a/crates/driver/src/routing/clients.rs
+++ b/crates/driver/src/routing/clients.rs
@@ -34,6 +34,8 @@
     /// How many of all have asked for something.
     asked: usize,
     most: usize,
+    /// Each takes two descriptors while another process holds it as well.
+    is_shared: bool,
     limits: Limits,
     leaving: bool,
     /// Whoever is between two statements goes to another process.
@@ -56,6 +58,7 @@
             pauses: Default::default(),
             asked: 0,
             most,
+            is_shared: false,
             limits,
             leaving: false,
             moving: false,
@@ -67,6 +70,10 @@
         (self.most, self.limits) = (most, limits);
     }
 
+    pub fn share(&mut self, is_shared: bool) {
+        self.is_shared = is_shared;
+    }
+
     pub fn count(&self) -> usize {
         self.open.len()
     }
@@ -79,7 +86,12 @@
         } else if self.moving {
             line.tell(Say::HandOver);
         }
-        let room = if self.open.len() < self.most {
+        let most = if self.is_shared {
+            self.most.div_ceil(2)
+        } else {
+            self.most
+        };
+        let room = if self.open.len() < most {
             Room::Free
         } else if self.free_one(now) {
             Room::Made
--- a/crates/driver/src/routing/errands.rs
+++ b/crates/driver/src/routing/errands.rs
@@ -205,6 +205,12 @@
         self.pool.let_go(member);
     }
 
+    /// The member of each execution that is out.
+    pub fn out(&self) -> impl Iterator<Item = u32> + '_ {
+        let executions = self.busy.values().filter(|e| e.kind != Kind::Probe);
+        executions.map(|e| e.member)
+    }
+
     /// Has all idle connections go to another process.
     pub fn hand_over_idle(&mut self) {
         for id in self.pool.retire_idle() {
--- a/crates/driver/src/routing/figures.rs
+++ b/crates/driver/src/routing/figures.rs
@@ -45,6 +45,7 @@
     clients_adopted,
     clients_taken_back,
     clients_cut,
+    drains_from_beside,
     taken_back_rejected,
     taken_back_aborted,
     probes_sent,
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -22,6 +22,7 @@
 use asterlatch::interface::*;
 use asterlatch::time::{Point, Span};
 use asterlatch_settings::Decoding;
+use asterlatch_takeover::joint::Word;
 use asterlatch_takeover::ledger::{Record, Verdict, Verdicts};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -134,6 +135,10 @@
     adopt: Adopt,
     adopt_connection: AdoptConnection,
     adopted: u32,
+    /// Another process serves beside this one, on the same descriptors and memory.
+    is_shared: bool,
+    /// Members that were heard to drain meanwhile, and when they had started.
+    pub drains: Vec<(String, u64)>,
     witness: Option<Witness>,
     /// Clients of a process that has died, some of whose statements may have run.
     verdicts: BTreeMap<u32, Verdicts>,
@@ -197,6 +202,8 @@
                 .collect(),
             moved_connections: Vec::new(),
             adopted: 0,
+            is_shared: false,
+            drains: Vec::new(),
             moved: Vec::new(),
         }
     }
@@ -326,6 +333,11 @@
         self.memory.0.taken() + self.memory.1.taken()
     }
 
+    /// Descriptors and bytes that all processes of this service together may have.
+    pub fn most(&self) -> (usize, usize) {
+        (self.given.sockets, self.given.memory)
+    }
+
     /// Bytes that clients may fill.
     pub fn clients_memory(&self) -> usize {
         self.memory.0.most()
@@ -343,6 +355,54 @@
         self.module_wakes = Some(now);
     }
 
+    /// Another process begins to serve beside this one, or doesn't any more; it is the one that stays, or leaves.
+    pub fn share(&mut self, now: Point, is_shared: bool, leaves: bool) {
+        (self.is_shared, self.drains) = (is_shared, Vec::new());
+        self.clients.share(is_shared);
+        let results = self.module.beside(now, is_shared && leaves);
+        self.carry_out(now, results);
+        self.tell_ended(now);
+    }
+
+    /// Executions that are out, by member.
+    pub fn out(&self) -> BTreeMap<String, u32> {
+        let mut out = BTreeMap::new();
+        for name in self.errands.out().filter_map(|m| self.members.name(m)) {
+            *out.entry(name.to_owned()).or_default() += 1;
+        }
+        out
+    }
+
+    /// Takes over what binds both processes. A member that is not known here gets nothing from here.
+    pub fn bind(&mut self, now: Point, word: &Word) {
+        let results = match word {
+            Word::Open { member, count } => self
+                .members
+                .find(member)
+                .map(|m| self.module.open_elsewhere(now, m, *count as usize)),
+            Word::Drains { member, since_ms } => self.members.find(member).map(|m| {
+                self.errands.let_go(m);
+                self.figures.drains_from_beside += 1;
+                self.module.drain_told(now, m, vitals::unix(*since_ms))
+            }),
+        };
+        if let Some(results) = results {
+            self.carry_out(now, results);
+            self.tell_ended(now);
+        }
+    }
+
+    /// The other process is gone, and with it all it had out.
+    pub fn forget_beside(&mut self, now: Point) {
+        let results = self.module.alone(now);
+        self.carry_out(now, results);
+    }
+
+    /// What is held now, for who asks whether another process has room beside this one.
+    pub fn held(&self) -> (usize, usize) {
+        (self.clients.count(), self.memory_taken())
+    }
+
     /// A descriptor of the listener, for another process.
     pub fn listener(&self) -> Option<TcpListener> {
         self.listening.as_ref()?.descriptor().ok()
@@ -802,7 +862,12 @@
         let read = roster.entries.iter().filter_map(|e| self.members.learn(e));
         let entries: Vec<_> = read.collect();
         let leave = entries.iter().filter(|e| e.standing != Standing::Ready);
-        leave.for_each(|e| self.errands.let_go(e.id));
+        for e in leave {
+            self.errands.let_go(e.id);
+            let name = self.members.name(e.id).filter(|_| self.is_shared);
+            let since_ms = e.started.map_or(0, |at| at.0 / 1000);
+            self.drains.extend(name.map(|n| (n.to_owned(), since_ms)));
+        }
         let left_out = roster.left_out + roster.entries.len() - entries.len();
         if left_out > 0 {
             self.figures.roster_entries_left_out += left_out as u64;
--- a/crates/driver/src/routing/tables.rs
+++ b/crates/driver/src/routing/tables.rs
@@ -66,6 +66,14 @@
         self.known.get(&member)?.address
     }
 
+    pub fn name(&self, member: u32) -> Option<&str> {
+        self.known.get(&member).map(|k| k.name.as_str())
+    }
+
+    pub fn find(&self, name: &str) -> Option<u32> {
+        self.ids.get(name).copied()
+    }
+
     /// How many there are, by name and by id.
     pub fn count(&self) -> (usize, usize) {
         (self.ids.len(), self.known.len())
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -17,8 +17,10 @@
 //! old one accepts no more. The socket tells of a death only after what was sent before it, so a commit that was sent is
 //! heard even if its sender is gone by then.
 //!
-//! `ledger` is what the old one knows of the clients of the new one on probation, and goes on with if that dies.
+//! `fit` says whether both have room, `joint` what binds both while they serve side by side, and `ledger` is what the old one knows of the clients of the new one on probation, and goes on with if that dies.
 
+pub mod fit;
+pub mod joint;
 pub mod ledger;
 pub mod message;
 pub mod new;
--- a/crates/takeover/src/message.rs
+++ b/crates/takeover/src/message.rs
@@ -1,5 +1,6 @@
 //! What the two sides say, as frames: kind, length and hash before the body, so that a cut or changed one is known.
 
+use crate::joint::Word;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -26,6 +27,8 @@
     Client(Client),
     /// Old: an idle connection to the member with this id, beside.
     Member(u32),
+    /// Either: what binds both.
+    Joint(Vec<Word>),
     /// New: it still serves.
     Beat,
     /// New: its probation is over.
--- a/crates/takeover/src/new.rs
+++ b/crates/takeover/src/new.rs
@@ -193,6 +193,7 @@
         let why = match self.input.as_ref()? {
             Input::Ended => "the former process is gone before the commit",
             Input::Garbled => "the former process sent what can't be read",
+            Input::Heard(Message::Joint(_)) => return None,
             Input::Heard(_) => "the former process said what makes no sense here",
             Input::Time if self.now >= self.until => "the former process was silent for too long",
             _ => return None,
--- a/crates/takeover/src/old.rs
+++ b/crates/takeover/src/old.rs
@@ -147,6 +147,11 @@
         self.now = Point(0);
     }
 
+    /// The new process serves beside this one.
+    pub fn is_shared(&self) -> bool {
+        matches!(self.phase, Phase::Committed | Phase::Standby | Phase::Done)
+    }
+
     fn go(&mut self, phase: Phase, within: Option<Span>) {
         self.phase = phase;
         self.until = within.map_or(Point(u64::MAX), |w| self.now + w);
@@ -272,6 +277,8 @@
             Input::Heard(Message::Hello { version }) if *version != VERSION => {
                 format!("the new process speaks version {version} of the takeover, this one {VERSION}")
             }
+            // What binds both may be on its way whatever else goes on.
+            Input::Heard(Message::Joint(_)) => return None,
             Input::Heard(other) => format!("the new process said {other:?} while {:?}", self.phase),
             _ => return None,
         };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -108,6 +108,9 @@
     #[serde(skip)]
     planned: Option<Point>,
     stalled_at: Point,
+    /// Another process serves the same members: what is cold there is that one's.
+    #[serde(skip)]
+    yields: bool,
     #[serde(skip)]
     results: Results,
 }
@@ -161,6 +164,51 @@
         d
     }
 
+    /// Another process with this one's memory begins to serve beside it, or is gone again (`yields`: this one leaves cold
+    /// members to it). What either may have sent there by now is not known here, so it counts as sent just now.
+    pub fn beside(&mut self, now: Point, yields: bool) -> Results {
+        self.hear(now);
+        let longest = self.longest_typical();
+        self.yields = yields;
+        for m in 0..self.members.id.len() {
+            (self.members.debt_at[m], self.members.debt[m]) = (now, longest);
+            self.touched.push(m);
+        }
+        self.settle()
+    }
+
+    /// So many executions of the other process are out at a member.
+    pub fn open_elsewhere(&mut self, now: Point, member: u32, count: usize) -> Results {
+        self.hear(now);
+        if let Some(&m) = self.members.index.get(&member) {
+            self.members.elsewhere[m] = count;
+            self.changed.insert(self.members.group[m]);
+        }
+        self.settle()
+    }
+
+    /// The other process is gone, and with it all it had out.
+    pub fn alone(&mut self, now: Point) -> Results {
+        self.hear(now);
+        self.members.elsewhere.fill(0);
+        self.changed.extend(0..self.groups.all.len());
+        self.settle()
+    }
+
+    /// The other process was told that a member drains or is gone, as one that started then.
+    pub fn drain_told(&mut self, now: Point, member: u32, started: Option<Point>) -> Results {
+        self.hear(now);
+        let f = &mut self.members;
+        let known = f.index.get(&member).copied();
+        if let Some(m) = known.filter(|m| f.started[*m] <= started && f.standing[*m] == Standing::Ready) {
+            (f.standing[m], f.drained[m]) = (Standing::Draining, true);
+            self.groups[f.group[m]].depose(m);
+            self.changed.insert(f.group[m]);
+            self.touched.push(m);
+        }
+        self.settle()
+    }
+
     pub fn statement_taken(&mut self, now: Point, s: &Statement) -> Results {
         self.hear(now);
         let group = self.groups.at(s.group);
@@ -681,7 +729,10 @@
     fn has_room(&self, m: usize) -> bool {
         let f = &self.members;
         let spared = self.setup > DEAR && !self.connected(m) && f.connections[m] > 0 && self.sparse();
-        (f.open[m] as f64) < f.limit[m] && self.cold_until(m) <= self.now && !spared
+        let (cold, out) = (self.cold_until(m), f.open[m] + f.elsewhere[m]);
+        // A second one here would be beyond what one driver may send.
+        let kept = self.yields && cold > Point(0);
+        (out as f64) < f.limit[m] && cold <= self.now && !spared && !kept
     }
 
     fn connected(&self, m: usize) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -266,6 +266,8 @@
     told_at: Option<Point> = None;
     said_replica: bool = false;
     open: usize = 0;
+    // Executions that another process of this driver has out.
+    elsewhere: usize = 0;
     owes_since: Point = Point(0);
     shunned: bool = false;
     connections: usize = 0;
