--- /dev/null
+++ b/crates/takeover/tests/beside.rs
@@ -0,0 +1,78 @@
+//! Whether two processes have room side by side, and what each tells the other that binds both.
+
+use asterlatch_takeover::fit::{check, Room};
+use asterlatch_takeover::joint::{Joint, Word};
+use std::collections::BTreeMap;
+
+#[test]
+fn an_upgrade_that_has_no_room_is_refused_with_its_figures() {
+    let mb = |n: u64| n << 20;
+    let small = Room {
+        descriptors: 256,
+        held: 60,
+        clients: 20,
+        memory: mb(32),
+        resident: mb(9),
+        messages: 0,
+    };
+    #[rustfmt::skip]
+    let cases = [
+        ("the small machine", small, ""),
+        ("as many as there may be", Room { held: 196, ..small }, ""),
+        ("one more", Room { held: 197, ..small }, "need 257 descriptors (197 held now, one more for each of 20 clients"),
+        ("many clients", Room { held: 140, clients: 100, ..small }, "need 280 descriptors"),
+        ("half of the memory", Room { resident: mb(16), ..small }, ""),
+        ("more than half", Room { resident: mb(17), ..small }, "need 34 MB (17 now, and 17 for the new process), and there are 32"),
+        ("more than half, but messages", Room { resident: mb(20), messages: mb(10), ..small }, ""),
+        ("a process needs something whatever it knows", Room { resident: mb(28), messages: mb(28), ..small }, "and 6 for the new process"),
+    ];
+    for (name, room, words) in cases {
+        let told = check(&room).err().unwrap_or_default();
+        assert!(
+            told.contains(words) && told.is_empty() == words.is_empty(),
+            "{name}: {told}"
+        );
+    }
+}
+
+#[test]
+fn only_what_differs_is_told() {
+    let open = |list: &[(&str, u32)]| -> BTreeMap<String, u32> {
+        list.iter().map(|(m, n)| ((*m).to_owned(), *n)).collect()
+    };
+    let mut joint = Joint::default();
+    #[rustfmt::skip]
+    let steps: [(&[(&str, u32)], &[(&str, u32)]); 5] = [
+        (&[("a", 1), ("b", 2)], &[("a", 1), ("b", 2)]),
+        (&[("a", 1), ("b", 2)], &[]),
+        (&[("a", 1), ("b", 1), ("c", 4)], &[("b", 1), ("c", 4)]),
+        (&[("b", 1)], &[("a", 0), ("c", 0)]),
+        (&[], &[("b", 0)]),
+    ];
+    for (now, told) in steps {
+        let told: Vec<_> = told
+            .iter()
+            .map(|(m, n)| Word::Open {
+                member: (*m).to_owned(),
+                count: *n,
+            })
+            .collect();
+        assert_eq!(joint.open(open(now)), told, "{now:?}");
+    }
+}
+
+#[test]
+fn a_drain_is_told_once_for_each_start() {
+    let mut joint = Joint::default();
+    assert!(joint.drains("a", 5).is_some());
+    assert!(joint.drains("a", 5).is_none(), "told already");
+    assert!(
+        joint.drains("a", 6).is_some(),
+        "it has started anew, and drains again"
+    );
+    joint.heard("b", 7);
+    assert!(
+        joint.drains("b", 7).is_none(),
+        "the other one knows it: told back it would go to and fro"
+    );
+}
--- /dev/null
+++ b/tests/beside.rs
@@ -0,0 +1,121 @@
+//! Two drivers that serve the same members side by side, as while one takes the other's service over.
+
+mod common;
+use asterlatch::choice::Driver;
+use asterlatch::interface::*;
+use common::*;
+
+/// (open elsewhere, whether a write may go out beside the ones that are out)
+#[test]
+fn what_the_other_has_out_counts_against_the_bound() {
+    for (elsewhere, goes) in [(0, true), (7, true), (8, false), (100, false)] {
+        let mut b = bench(&settings(), 1);
+        b.driver.open_elsewhere(at(0), 1, elsewhere);
+        assert_eq!(!b.goes(1, WRITE).is_empty(), goes, "{elsewhere} elsewhere");
+        // What waits goes out as soon as that has ended, or the other is gone.
+        let mut again = bench(&settings(), 1);
+        again.driver.open_elsewhere(at(0), 1, elsewhere);
+        let (_, r) = again.take(1, WRITE);
+        let went = sent_to(&r).len();
+        let less = again.driver.open_elsewhere(at(2), 1, 3);
+        let alone = again.driver.alone(at(3));
+        assert_eq!(
+            went + sent_to(&less).len() + sent_to(&alone).len(),
+            1,
+            "{elsewhere} elsewhere"
+        );
+        // A member that isn't known here binds nothing.
+        assert!(again.driver.open_elsewhere(at(4), 99, 5).executions.is_empty());
+    }
+}
+
+/// How many statements a cold member is sent by both together within a second.
+fn sent_cold(yields: bool) -> (usize, usize, usize) {
+    let settings = settings();
+    let mut alone = bench(&settings, 1);
+    let told = |b: &mut Bench| b.told(1, started(1, at(0)));
+    told(&mut alone);
+    let (mut old, mut new) = (bench(&settings, 1), bench(&settings, 1));
+    [&mut old, &mut new].map(told);
+    old.driver.beside(at(2), yields);
+    new.driver.beside(at(2), false);
+    let mut sent = [0; 3];
+    for now in 3..1000 {
+        for (n, b) in [&mut alone, &mut old, &mut new].into_iter().enumerate() {
+            // Whatever waited goes out in its time, and so does a new one.
+            let mut r = b.driver.time_reached(at(now));
+            r.executions.extend(b.take(now, WRITE).1.executions);
+            sent[n] += r.executions.len();
+            let mut ends = r.executions;
+            while let Some(e) = ends.pop() {
+                let end = ended(e.stmt, e.member, Ending::Completed, 1, seen(now, true));
+                let more = b.driver.execution_ended(at(now), &end).executions;
+                sent[n] += more.len();
+                ends.extend(more);
+            }
+        }
+    }
+    (sent[0], sent[1], sent[2])
+}
+
+#[test]
+fn a_cold_member_gets_from_both_no_more_than_from_one() {
+    let (alone, old, new) = sent_cold(true);
+    assert_eq!(old, 0, "it is the other's");
+    assert!(new > 0 && new <= alone, "{new} of {alone}");
+    let (alone, old, new) = sent_cold(false);
+    assert!(
+        old + new > alone,
+        "{old} and {new} against {alone}: or this proves nothing"
+    );
+}
+
+/// What went out since the memory was written down isn't in it, so it is reckoned with from the first.
+#[test]
+fn what_the_other_may_have_sent_a_cold_member_counts_as_sent_now() {
+    let settings = settings();
+    let mut b = bench(&settings, 1);
+    b.told(1, started(1, at(0)));
+    let mut quiet = bench(&settings, 1);
+    quiet.told(1, started(1, at(0)));
+    // Long after, a debt is paid off; one that is new again isn't.
+    b.driver.beside(at(5000), false);
+    assert!(b.goes(5001, WRITE).is_empty());
+    assert_eq!(quiet.goes(5001, WRITE), [1]);
+}
+
+#[test]
+fn a_drain_told_to_the_other_binds_here() {
+    // (started here, started there; whether it binds)
+    let table = [
+        (None, None, true),
+        (None, Some(at(10)), true),
+        (Some(at(10)), Some(at(10)), true),
+        // It has started anew since.
+        (Some(at(10)), None, false),
+        (Some(at(10)), Some(at(9)), false),
+    ];
+    for (here, there, binds) in table {
+        let s = with(|s| s.cold_share = 1.0);
+        let mut b = bench(&s, 2);
+        let plain = member(1);
+        b.told(
+            20,
+            MemberEntry {
+                started: here,
+                ..plain
+            },
+        );
+        b.see(21, 1, 21, true);
+        let before = b.goes(25_000, WRITE);
+        b.driver.drain_told(at(25_001), 1, there);
+        let after = b.goes(25_002, WRITE);
+        assert_eq!(before, [1], "{here:?} {there:?}");
+        assert_eq!(after.is_empty(), binds, "{here:?} {there:?}");
+        // Nor is it probed, nor gets it reads.
+        let r = b.run_until(25_003, 26_000);
+        assert!(!binds || !r.probes.contains(&1), "{here:?} {there:?}");
+    }
+    let mut nobody = Driver::new(&settings(), 1, at(0));
+    assert!(nobody.drain_told(at(1), 7, None).executions.is_empty());
+}
