Laboratory: members, discovery, open load, faults by script and a judge; make demo

Change: crates/lab with script, store, arrivals and judge without I/O, and stand-ins of the public protocols on loopback; asterlatch-lab demo prints outcomes, rules kept and latencies.

Found with it: where the driver itself remembers what sessions wrote, no member can check a session's read, yet the module relied on that check: a replica whose lag was last seen long ago, or never, was taken for ready. Such reads now go only where the known position covers them. A test fails without it; platform settings carry the age, so nothing changes there.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= $(RELAY_CONFIG)
 
-.PHONY: build test lint run check ci bench-config bench-flood fuzz-config trial-upgrade trial-faults
+.PHONY: demo build test lint run check ci bench-config bench-flood fuzz-config trial-upgrade trial-faults
 
 build:
 	cargo build --release --locked
@@ -12,6 +12,10 @@
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 
+# Stand-in members, discovery and clients around the built program, ten seconds of load with faults, and a judge.
+demo: build
+	target/release/asterlatch-lab demo
+
 run: build
 	target/release/asterlatch serve --config "$(CONFIG)"
 
--- /dev/null
+++ b/crates/lab/src/arrivals.rs
@@ -0,0 +1,65 @@
+//! When clients ask, and for what: an open stream, which doesn't wait for answers.
+
+use crate::store::Workload;
+use asterlatch::time::Span;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    pub at: Span,
+    pub id: u64,
+    pub workload: usize,
+    pub group: u32,
+    pub session: u32,
+}
+
+/// Independent arrivals at a steady rate, by seed.
+pub struct Arrivals {
+    chance: fastrand::Rng,
+    shares: Vec<f64>,
+    rate: f64,
+    groups: u32,
+    until: Span,
+    at: f64,
+    next: u64,
+}
+
+impl Arrivals {
+    /// `rate` a second, for that long.
+    pub fn new(workloads: &[Workload], rate: f64, groups: u32, until: Span, seed: u64) -> Arrivals {
+        Arrivals {
+            chance: fastrand::Rng::with_seed(seed),
+            shares: workloads.iter().map(|w| w.share).collect(),
+            rate,
+            groups,
+            until,
+            at: 0.0,
+            // No two experiments share ids.
+            next: seed << 40,
+        }
+    }
+}
+
+impl Iterator for Arrivals {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        self.at += -(1.0 - self.chance.f64()).ln() / self.rate;
+        let at = Span((self.at * 1e6) as u64);
+        if at >= self.until {
+            return None;
+        }
+        self.next += 1;
+        let mut drawn = self.chance.f64() * self.shares.iter().sum::<f64>();
+        let chosen = self.shares.iter().position(|share| {
+            drawn -= share;
+            drawn < 0.0
+        });
+        Some(Arrival {
+            at,
+            id: self.next,
+            workload: chosen.unwrap_or(self.shares.len() - 1),
+            group: self.chance.u32(1..=self.groups),
+            session: self.chance.u32(0..200),
+        })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/discovery.rs
@@ -0,0 +1,95 @@
+//! The list of members over HTTP: whole, and as a watch that waits for something newer.
+
+use crate::member::{lock, Shared};
+use crate::wire::unix;
+use asterlatch::time::Span;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub type Addresses = BTreeMap<u32, SocketAddr>;
+
+/// The list as it stands now. Its version grows with each change that the script makes to it.
+pub fn listed(store: &Shared, addresses: &Addresses) -> Value {
+    let store = lock(store);
+    let now = unix();
+    let mut index = 1;
+    let mut at = Span(0);
+    while let Some(next) = store
+        .script
+        .next_listing(at)
+        .filter(|n| *n <= now - store.started)
+    {
+        (at, index) = (next, index + 1);
+    }
+    let entry = |(member, address): (&u32, &SocketAddr)| {
+        let zone = if member % 2 == 0 { "heredia" } else { "cartago" };
+        json!({
+            "name": format!("m{member}"), "address": address.to_string(), "zone": zone,
+            "group": store.group(*member), "weight": 1.0, "since_ms": 0,
+            "status": if store.drains(now, *member) { "DRAINING" } else { "SERVING" },
+            "rank": if store.primary(store.started, store.group(*member)) == *member { "source" } else { "copy" },
+        })
+    };
+    let endpoints: Vec<Value> = addresses.iter().map(entry).collect();
+    json!({"index": index, "snapshot": true, "endpoints": endpoints})
+}
+
+pub fn start(store: &Shared, addresses: &Addresses) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let (store, addresses) = (store.clone(), addresses.clone());
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (store, addresses) = (store.clone(), addresses.clone());
+            thread::spawn(move || drop(answer(stream, &store, &addresses)));
+        }
+    });
+    Ok(address)
+}
+
+fn answer(mut stream: TcpStream, store: &Shared, addresses: &Addresses) -> io::Result<()> {
+    let mut lines = BufReader::new(stream.try_clone()?);
+    loop {
+        let mut first = String::new();
+        if lines.read_line(&mut first)? == 0 {
+            return Ok(());
+        }
+        let mut line = first.clone();
+        while line.trim() != "" {
+            line.clear();
+            if lines.read_line(&mut line)? == 0 {
+                return Ok(());
+            }
+        }
+        let path = first.split(' ').nth(1).unwrap_or_default();
+        let field = |name: &str| -> Option<u64> {
+            let query = path.split_once('?')?.1;
+            let fields = query.split('&').filter_map(|f| f.split_once('='));
+            fields
+                .filter(|(n, _)| *n == name)
+                .find_map(|(_, v)| v.parse().ok())
+        };
+        let until = Instant::now() + Duration::from_millis(field("wait_ms").unwrap_or(0).min(60_000));
+        let mut list = listed(store, addresses);
+        while field("after").is_some_and(|after| list["index"].as_u64() <= Some(after))
+            && Instant::now() < until
+        {
+            thread::sleep(Duration::from_millis(5));
+            list = listed(store, addresses);
+        }
+        if field("after").is_some_and(|after| list["index"].as_u64() <= Some(after)) {
+            list["endpoints"] = json!([]);
+            list["snapshot"] = json!(false);
+        }
+        let body = list.to_string();
+        let length = body.len();
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"
+        )?;
+    }
+}
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,164 @@
+//! Clients that ask whenever an arrival is due, whether or not others still wait.
+
+use crate::arrivals::{Arrival, Arrivals};
+use crate::judge::{Record, Told};
+use crate::member::{lock, pause, Shared};
+use crate::store::Kind;
+use crate::wire::{greet, message, of_value, read, unix};
+use asterlatch::time::{Point, Span};
+use std::io::{self, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// Beyond its patience a client listens on for so long, to tell late answers from none.
+const AFTERWARDS: Span = Span::millis(1000);
+
+pub struct Load(Vec<JoinHandle<Vec<Record>>>);
+
+/// Asks at this address; times of arrivals count from `from`.
+pub fn start(store: &Shared, address: SocketAddr, arrivals: Arrivals, from: Point, clients: usize) -> Load {
+    let arrivals = Arc::new(Mutex::new(arrivals));
+    let client = |_| {
+        let (arrivals, store) = (arrivals.clone(), store.clone());
+        thread::spawn(move || {
+            let mut client = Client {
+                address,
+                store,
+                kept: None,
+                records: Vec::new(),
+            };
+            let next = || arrivals.lock().unwrap_or_else(PoisonError::into_inner).next();
+            while let Some(arrival) = next() {
+                let due = from + arrival.at;
+                pause(due - unix());
+                client.ask(&arrival, due);
+            }
+            client.look_behind();
+            client.records
+        })
+    };
+    Load((0..clients).map(client).collect())
+}
+
+impl Load {
+    /// All that was told, by when it was due.
+    pub fn finish(self) -> Vec<Record> {
+        let ended = self.0.into_iter().filter_map(|client| client.join().ok());
+        let mut all: Vec<Record> = ended.flatten().collect();
+        all.sort_by_key(|r| (r.due, r.id));
+        all
+    }
+}
+
+struct Client {
+    address: SocketAddr,
+    store: Shared,
+    kept: Option<TcpStream>,
+    records: Vec<Record>,
+}
+
+impl Client {
+    /// Whether anything came behind the last answer.
+    fn look_behind(&mut self) {
+        let Some(stream) = &self.kept else { return };
+        let _ = stream.set_nonblocking(true);
+        let more = matches!(stream.peek(&mut [0]), Ok(n) if n > 0);
+        let _ = stream.set_nonblocking(false);
+        if let Some(last) = self.records.last_mut() {
+            last.more |= more;
+        }
+    }
+
+    fn connect(&self, patience: Span) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(self.address)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_micros(patience.0 + AFTERWARDS.0)))?;
+        greet(&mut stream)?;
+        Ok(stream)
+    }
+
+    fn ask(&mut self, arrival: &Arrival, due: Point) {
+        self.look_behind();
+        let (name, kind, patience) = {
+            let store = lock(&self.store);
+            let w = &store.workloads[arrival.workload];
+            (w.name, w.kind, w.patience)
+        };
+        let (id, group, key) = (arrival.id, arrival.group, arrival.session);
+        let head = format!("/* id={id:x},c={name},d={},cluster={group} */", patience.0 / 1000);
+        let text = match kind {
+            Kind::Write { .. } => {
+                format!("{head} INSERT INTO rows (handle, blob) VALUES ('s{key}', 'x') RETURNING blob\0")
+            }
+            _ => format!("{head} SELECT blob FROM rows WHERE handle = 's{key}'\0"),
+        };
+        let query = message(b'Q', text.as_bytes());
+        let mut sent = unix();
+        let mut told = Told::Refused;
+        // A connection that ended before the statement was read is no answer: it is sent once more on a new one. That
+        // it wasn't read is for the store to say, which has never seen it.
+        for again in [false, true] {
+            let kept = self.kept.take().filter(|_| !again);
+            let until = unix() + patience;
+            let mut stream = kept
+                .ok_or(io::Error::from(ErrorKind::NotConnected))
+                .or_else(|_| self.connect(patience));
+            while stream.is_err() && unix() < until {
+                pause(Span::millis(5));
+                stream = self.connect(patience);
+            }
+            let Ok(mut stream) = stream else { break };
+            let _ = stream.set_read_timeout(Some(Duration::from_micros(patience.0 + AFTERWARDS.0)));
+            sent = unix();
+            told = match stream.write_all(&query).and_then(|()| answer(&mut stream)) {
+                Ok(told) => {
+                    self.kept = Some(stream);
+                    told
+                }
+                Err(_) => Told::Nothing,
+            };
+            if told != Told::Nothing || lock(&self.store).has_seen(id) {
+                break;
+            }
+        }
+        self.records.push(Record {
+            id,
+            workload: arrival.workload,
+            group,
+            session: key,
+            due,
+            sent,
+            answered: unix(),
+            told,
+            more: false,
+        });
+    }
+}
+
+/// The one final answer, up to where the next statement may follow.
+fn answer(stream: &mut TcpStream) -> io::Result<Told> {
+    let mut told = None;
+    loop {
+        let (kind, body) = read(stream, true)?;
+        match kind {
+            b'D' => {
+                let row = body.get(6..).and_then(of_value);
+                let (id, position) = row.ok_or(ErrorKind::InvalidData)?;
+                told = Some(Told::Row { id, position });
+            }
+            b'E' => {
+                let code = body.split(|b| *b == 0).find_map(|f| f.strip_prefix(b"C"));
+                let is_rejection = matches!(code, Some(b"53300" | b"57P03"));
+                told = Some(if is_rejection {
+                    Told::Rejected
+                } else {
+                    Told::Aborted
+                });
+            }
+            b'Z' => return told.ok_or(ErrorKind::InvalidData.into()),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,229 @@
+//! `asterlatch-lab`: experiments on one machine.
+
+use asterlatch::time::{Point, Span};
+use asterlatch_lab::arrivals::Arrivals;
+use asterlatch_lab::judge::{judge, times, Record};
+use asterlatch_lab::load;
+use asterlatch_lab::member::{lock, pause};
+use asterlatch_lab::scene::Scene;
+use asterlatch_lab::script::Script;
+use asterlatch_lab::wire::unix;
+use clap::{Args, Parser, Subcommand};
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Stand-in members, discovery and clients around the built program.
+#[derive(Parser)]
+#[command(version)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Three groups, the program, and ten seconds of load with faults: what became of each statement.
+    Demo {
+        #[command(flatten)]
+        common: Common,
+        /// For how many seconds clients ask.
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+        /// Faults, a line each; without it a few of each kind.
+        #[arg(long)]
+        script: Option<PathBuf>,
+    },
+    /// Upgrades, or restarts in their place, under load: what clients notice.
+    Upgrade {
+        #[command(flatten)]
+        common: Common,
+        #[arg(long, default_value_t = 20)]
+        count: u32,
+        /// A restart instead: leaves, and begins with nothing learned.
+        #[arg(long)]
+        restart: bool,
+        /// A member's fault beside every second one.
+        #[arg(long)]
+        faults: bool,
+    },
+}
+
+#[derive(Args)]
+struct Common {
+    /// The built program; without it the one that lies beside this one.
+    #[arg(long)]
+    driver: Option<PathBuf>,
+    /// Statements a second.
+    #[arg(long, default_value_t = 500.0)]
+    rate: f64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 3)]
+    groups: u32,
+    #[arg(long, default_value_t = 2)]
+    replicas: u32,
+    /// How many may wait for an answer at once.
+    #[arg(long, default_value_t = 96)]
+    clients: usize,
+}
+
+const FAULTS: &str = "
+1.5s member 2 slow 60ms for 1s
+3s member 3 is down for 1s
+4.5s member 9 lags 3s for 1s
+5s group 2 switches to 5
+6.5s member 8 drains for 1.5s
+7s member 6 fails for 500ms
+8s member 1 hangs for 400ms
+9s primary of 3 loses answers for 100ms
+";
+
+impl Common {
+    fn driver(&self) -> io::Result<PathBuf> {
+        match &self.driver {
+            Some(path) => Ok(path.clone()),
+            None => Ok(std::env::current_exe()?.with_file_name("asterlatch")),
+        }
+    }
+
+    fn scene(&self, script: Script) -> io::Result<Scene> {
+        let folder = std::env::temp_dir().join(format!("asterlatch-lab-{}", std::process::id()));
+        Scene::start(&self.driver()?, &folder, (self.groups, self.replicas), script)
+    }
+
+    fn load(&self, scene: &Scene, seconds: f64) -> (load::Load, Point) {
+        let from = unix();
+        let workloads = lock(&scene.store).workloads.clone();
+        let until = Span((seconds * 1e6) as u64);
+        let arrivals = Arrivals::new(&workloads, self.rate, self.groups, until, self.seed);
+        let load = load::start(&scene.store, scene.listen, arrivals, from, self.clients);
+        (load, from)
+    }
+}
+
+/// Ends the program, judges, and prints; whether all rules were kept.
+fn conclude(mut scene: Scene, records: &[Record]) -> bool {
+    scene.end();
+    let report = judge(&lock(&scene.store), records);
+    println!("{report}");
+    let _ = std::fs::remove_dir_all(&scene.folder);
+    report.broken() == 0
+}
+
+fn demo(common: &Common, seconds: f64, script: Option<PathBuf>) -> io::Result<bool> {
+    let text = match &script {
+        Some(path) => {
+            std::fs::read_to_string(path).map_err(|e| io::Error::other(format!("{}: {e}", path.display())))?
+        }
+        None => FAULTS.to_owned(),
+    };
+    let script = Script::read(&text).map_err(io::Error::other)?;
+    println!(
+        "{} groups of {} members, {} statements a second for {seconds} s; faults:",
+        common.groups,
+        common.replicas + 1,
+        common.rate
+    );
+    println!("{}\n", text.trim());
+    let scene = common.scene(script)?;
+    let (load, _) = common.load(&scene, seconds);
+    let records = load.finish();
+    Ok(conclude(scene, &records))
+}
+
+/// Before each one so much is calm, and its effect is looked at for so long.
+const CALM: Span = Span::millis(2000);
+const AFTER: Span = Span::millis(2000);
+
+fn upgrade(common: &Common, count: u32, restart: bool, faults: bool) -> io::Result<bool> {
+    let mut text = String::new();
+    let each = (CALM.0 + AFTER.0) as f64 / 1e6 + 2.0;
+    for n in (0..count).filter(|n| faults && n % 2 == 1) {
+        // While the two serve side by side, and a little on either side of that.
+        let at = f64::from(n) * each + CALM.0 as f64 / 1e6 - 0.1;
+        let faults = ["slow 40ms", "is down", "fails", "lags 2s", "drains", "hangs"];
+        let (member, fault) = (
+            n % (common.groups * (common.replicas + 1)) + 1,
+            faults[(n / 2) as usize % faults.len()],
+        );
+        text += &format!("{at}s member {member} {fault} for 700ms\n");
+    }
+    let mut scene = common.scene(Script::read(&text).map_err(io::Error::other)?)?;
+    let (load, from) = common.load(&scene, f64::from(count) * each + 0.5);
+    lock(&scene.store).started = from;
+    let mut spans = Vec::new();
+    for n in 0..count {
+        let at = from + Span((f64::from(n) * each * 1e6) as u64) + CALM;
+        pause(at - unix());
+        if restart {
+            scene.end();
+            scene.begin()?;
+        } else {
+            scene.upgrade()?;
+        }
+        spans.push((at, unix()));
+    }
+    let records = load.finish();
+    let within = |r: &Record, spans: &[(Point, Point)]| spans.iter().any(|(a, b)| (*a..*b).contains(&r.due));
+    let calm: Vec<_> = spans
+        .iter()
+        .map(|(at, _)| (*at - CALM, *at - Span::millis(200)))
+        .collect();
+    let after: Vec<_> = spans.iter().map(|(_, end)| (*end, *end + AFTER)).collect();
+    let kind = if restart { "restarts" } else { "upgrades" };
+    println!("{count} {kind}, {} statements a second", common.rate);
+    for (name, spans) in [("before", &calm), ("meanwhile", &spans), ("behind", &after)] {
+        let own = times(records.iter().filter(|r| within(r, spans)));
+        let part = |q| own.value_at_quantile(q) as f64 / 1000.0;
+        let (primary, replica) = reads(&scene, from, spans);
+        println!(
+            "{name:<10} {:>7} answered, p50 {:>6.1} ms, p99 {:>6.1} ms, most {:>6.1} ms, reads at primaries {:.2} %",
+            own.len(),
+            part(0.5),
+            part(0.99),
+            part(1.0),
+            100.0 * f64::from(primary) / f64::from((primary + replica).max(1))
+        );
+    }
+    let kept = conclude(scene, &records);
+    println!("{count} passed, {} failed", if kept { 0 } else { 1 });
+    Ok(kept)
+}
+
+/// Reads that members executed meanwhile.
+fn reads(scene: &Scene, from: Point, spans: &[(Point, Point)]) -> (u32, u32) {
+    let store = lock(&scene.store);
+    let at = |tenth: &u64| from + Span::millis(tenth * 100);
+    let meant = store
+        .reads
+        .iter()
+        .filter(|(t, _)| spans.iter().any(|(a, b)| (*a..*b).contains(&at(t))));
+    meant.fold((0, 0), |(p, r), (_, (primary, replica))| {
+        (p + primary, r + replica)
+    })
+}
+
+fn main() -> ExitCode {
+    let done = match Line::parse().command {
+        Command::Demo {
+            common,
+            seconds,
+            script,
+        } => demo(&common, seconds, script),
+        Command::Upgrade {
+            common,
+            count,
+            restart,
+            faults,
+        } => upgrade(&common, count, restart, faults),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("asterlatch-lab: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scene.rs
@@ -0,0 +1,191 @@
+//! A whole deployment on loopback: members, discovery, and the built program between them and its clients.
+
+use crate::discovery;
+use crate::member::{self, lock, Shared};
+use crate::script::Script;
+use crate::store::{Kind, Store};
+use crate::wire::{greet, message, read, unix};
+use serde_json::json;
+use std::fs::File;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub struct Scene {
+    pub store: Shared,
+    pub listen: SocketAddr,
+    pub folder: PathBuf,
+    driver: PathBuf,
+    child: Option<Child>,
+    logs: u32,
+}
+
+/// How long a program may take to begin.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+impl Scene {
+    /// Puts members and discovery up and starts the program, whose log and files lie in `folder`.
+    pub fn start(
+        driver: &Path,
+        folder: &Path,
+        (groups, replicas): (u32, u32),
+        script: Script,
+    ) -> io::Result<Scene> {
+        std::fs::create_dir_all(folder)?;
+        let store = Arc::new(Mutex::new(Store::new(groups, replicas, script, unix())));
+        let members: Vec<u32> = lock(&store).members().collect();
+        let started = members.into_iter().map(|m| Ok((m, member::start(&store, m)?)));
+        let addresses: discovery::Addresses = started.collect::<io::Result<_>>()?;
+        let discovery = discovery::start(&store, &addresses)?;
+        // Bound for a moment, so that the system picks the port.
+        let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let workloads = lock(&store).workloads.clone();
+        let each =
+            |f: fn(&Kind) -> serde_json::Value| -> Vec<_> { workloads.iter().map(|w| f(&w.kind)).collect() };
+        let categories: Vec<_> = workloads
+            .iter()
+            .map(|w| {
+                let repeat = match w.kind {
+                    Kind::Write { dropped: false } => "fragile",
+                    Kind::Write { dropped: true } => "dedup",
+                    _ => "retryable",
+                };
+                json!({"name": w.name, "idempotency": repeat, "objective_us": w.patience.0 / 2, "worth": 1.0,
+                    "late_worth": 0.3, "key_scope": "all", "window_us": 2_000_000})
+            })
+            .collect();
+        let config = json!({
+            "name": "lab", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "7",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": discovery::listed(&store, &addresses),
+            "settings": {
+                "categories": categories, "zones": ["heredia", "cartago"], "tick_us": 5000, "peers_total": 1,
+                "family_info": {
+                    "freshness": each(|k| match k {
+                        Kind::Any => "loose", Kind::Bounded(_) => "recent", Kind::Own => "own_writes",
+                        Kind::Write { .. } => "update",
+                    }.into()),
+                    "staleness_bound_us": each(|k| match k { Kind::Bounded(b) => b.0, _ => 0 }.into()),
+                    "behind": "reject", "tokens": "router", "answers_stamped": true,
+                },
+                "limits": {"cancel": true, "probes": true, "try_limit": 4, "connect_timeout_us": 200_000,
+                    "conn_idle_us": 30_000_000, "retry_after": true, "max_retry_after_us": 200_000},
+                "rules": {"tip_multiple": 4, "fall_us": 2_000_000, "cold_from": 0.2, "warm_within_us": 3_000_000},
+                "report": {"fields": ["x0", "x1"], "how": "on_probe"},
+            },
+        });
+        std::fs::write(folder.join("config.json"), config.to_string())?;
+        let times =
+            "upgrade(hello = 5s, ready = 5s, taken = 1s, probation = 500ms, beat = 100ms, silence = 2s)\n";
+        std::fs::write(folder.join("operators.latch"), times)?;
+        let mut scene = Scene {
+            store,
+            listen,
+            folder: folder.to_owned(),
+            driver: driver.to_owned(),
+            child: None,
+            logs: 0,
+        };
+        scene.begin()?;
+        Ok(scene)
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+
+    /// Starts the program, and waits until it answers.
+    pub fn begin(&mut self) -> io::Result<()> {
+        self.logs += 1;
+        let log = File::create(self.path(&format!("driver-{}.log", self.logs)))?;
+        let child = Command::new(&self.driver)
+            .arg("serve")
+            .arg("--config")
+            .arg(self.path("config.json"))
+            .arg("--operators")
+            .arg(self.path("operators.latch"))
+            .arg("--control")
+            .arg(self.path("control"))
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .map_err(|e| io::Error::other(format!("{}: {e}", self.driver.display())))?;
+        self.child = Some(child);
+        let end = Instant::now() + PATIENCE;
+        while let Err(e) = self.is_up() {
+            if Instant::now() > end {
+                return Err(io::Error::other(format!("the program doesn't serve: {e}")));
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        Ok(())
+    }
+
+    fn is_up(&self) -> io::Result<()> {
+        let mut stream = TcpStream::connect(self.listen)?;
+        greet(&mut stream)?;
+        stream.write_all(&message(b'Q', b"\0"))?;
+        read(&mut stream, true).map(drop)
+    }
+
+    /// Has a new process take over; what was said of it.
+    pub fn upgrade(&mut self) -> io::Result<String> {
+        let output = Command::new(&self.driver)
+            .arg("upgrade")
+            .arg("--control")
+            .arg(self.path("control"))
+            .arg("--to")
+            .arg(&self.driver)
+            .output()?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        if !output.status.success() {
+            return Err(io::Error::other(text));
+        }
+        // The former process ends by itself; the new one is nobody's child then but the system's.
+        if let Some(mut child) = self.child.take() {
+            child.wait()?;
+        }
+        Ok(text)
+    }
+
+    /// The number of the process that serves, as its control socket's holder.
+    pub fn pid(&self) -> Option<u32> {
+        if let Some(child) = &self.child {
+            return Some(child.id());
+        }
+        let name = self.path("config.json");
+        let processes = std::fs::read_dir("/proc").ok()?.flatten();
+        let numbers = processes.filter_map(|p| p.file_name().to_str()?.parse::<u32>().ok());
+        let is_ours = |pid: &u32| {
+            let line = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
+            line.split(|b| *b == 0)
+                .any(|word| word == name.as_os_str().as_encoded_bytes())
+        };
+        numbers.filter(|pid| *pid != std::process::id()).find(is_ours)
+    }
+
+    /// Tells whichever process serves to leave, and waits for its end.
+    pub fn end(&mut self) {
+        let Some(pid) = self.pid() else { return };
+        let _ = Command::new("kill").arg(pid.to_string()).status();
+        if let Some(mut child) = self.child.take() {
+            let _ = child.wait();
+            return;
+        }
+        let end = Instant::now() + PATIENCE;
+        while Path::new(&format!("/proc/{pid}")).exists() && Instant::now() < end {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Scene {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
--- /dev/null
+++ b/crates/lab/src/wire.rs
@@ -0,0 +1,95 @@
+//! What is spoken: messages of PostgreSQL's protocol, and the comment that heads a statement.
+
+use crate::store::Ask;
+use asterlatch::time::{Point, Span};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::SystemTime;
+
+/// As machines of a deployment read it.
+pub fn unix() -> Point {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    Point(since.unwrap_or_default().as_micros() as u64)
+}
+
+pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind][..], &(body.len() as u32 + 4).to_be_bytes(), body].concat()
+}
+
+/// No message of a laboratory is longer.
+const LONGEST: usize = 1 << 24;
+
+/// The next message, behind its kind where it has one.
+pub fn read(stream: &mut TcpStream, has_kind: bool) -> io::Result<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    let from = usize::from(!has_kind);
+    stream.read_exact(&mut head[from..])?;
+    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    let length = length
+        .checked_sub(4)
+        .filter(|l| *l <= LONGEST)
+        .ok_or(ErrorKind::InvalidData)?;
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body)?;
+    Ok((head[0], body))
+}
+
+/// A startup message, and all that comes up to the first word that it is ready.
+pub fn greet(stream: &mut TcpStream) -> io::Result<()> {
+    let fields = b"user\0api\0database\0ledger\0\0";
+    let mut startup = (fields.len() as u32 + 8).to_be_bytes().to_vec();
+    startup.extend((3u32 << 16).to_be_bytes());
+    startup.extend(fields);
+    stream.write_all(&startup)?;
+    while read(stream, true)?.0 != b'Z' {}
+    Ok(())
+}
+
+pub fn error(code: &str, text: &str) -> Vec<u8> {
+    message(b'E', format!("SERROR\0C{code}\0M{text}\0\0").as_bytes())
+}
+
+pub fn status(name: &str, value: &str) -> Vec<u8> {
+    message(b'S', format!("{name}\0{value}\0").as_bytes())
+}
+
+/// A row of one binary column.
+pub fn row(value: &[u8]) -> Vec<u8> {
+    let mut described = 1u16.to_be_bytes().to_vec();
+    described.extend(b"blob\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01");
+    let mut row = 1u16.to_be_bytes().to_vec();
+    row.extend((value.len() as u32).to_be_bytes());
+    row.extend(value);
+    [
+        message(b'T', &described),
+        message(b'D', &row),
+        message(b'C', b"SELECT 1\0"),
+    ]
+    .concat()
+}
+
+/// The value that a stand-in gives for a statement: for whom it was made, and at what position.
+pub fn value(id: u64, position: Point) -> Vec<u8> {
+    format!("{id:x}@{}", position.0 / 1000).into_bytes()
+}
+
+pub fn of_value(value: &[u8]) -> Option<(u64, Point)> {
+    let (id, ms) = std::str::from_utf8(value).ok()?.split_once('@')?;
+    let at = Point(0) + Span::millis(ms.parse().ok()?);
+    Some((u64::from_str_radix(id, 16).ok()?, at))
+}
+
+/// The statement that a comment heads; `names` are the workloads'.
+pub fn ask(text: &str, names: &[&str]) -> Option<Ask> {
+    let comment = text.trim_start().strip_prefix("/*")?.split("*/").next()?;
+    let field = |name: &str| {
+        let fields = comment.trim().split(',').filter_map(|f| f.split_once('='));
+        fields.filter(|(n, _)| *n == name).map(|(_, v)| v).next()
+    };
+    let after = field("after").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+    Some(Ask {
+        id: u64::from_str_radix(field("id")?, 16).ok()?,
+        workload: names.iter().position(|n| Some(*n) == field("c"))?,
+        after: Point(0) + Span::millis(after),
+    })
+}
--- /dev/null
+++ b/crates/lab/tests/decisions.rs
@@ -0,0 +1,238 @@
+//! Scripts, the store, arrivals and the judge, without sockets.
+
+use asterlatch::time::{Point, Span};
+use asterlatch_lab::arrivals::Arrivals;
+use asterlatch_lab::judge::{judge, Record, Told, BREACHES};
+use asterlatch_lab::script::{Event, Fault, Script, Target};
+use asterlatch_lab::store::{workloads, Ask, Reply, Store};
+use asterlatch_lab::wire::{ask, of_value, value};
+
+const START: Point = Point(1_000_000_000_000);
+
+fn ms(n: u64) -> Span {
+    Span::millis(n)
+}
+
+fn at(n: u64) -> Point {
+    START + ms(n)
+}
+
+#[test]
+fn scripts_say_what_they_mean_or_where_they_don_t() {
+    let fault = |target, fault, from, until| Event::Fault {
+        target,
+        fault,
+        from: ms(from),
+        until: ms(until),
+    };
+    #[rustfmt::skip]
+    let good = [
+        ("2s member 3 slow 50ms for 1s", fault(Target::Member(3), Fault::Slow(ms(50)), 2000, 3000)),
+        ("500ms primary of 1 hangs for 1.5s", fault(Target::Primary(1), Fault::Hangs, 500, 2000)),
+        ("0s member 1 is down for 10ms", fault(Target::Member(1), Fault::Down, 0, 10)),
+        ("1s member 1 loses answers for 1s", fault(Target::Member(1), Fault::LosesAnswers, 1000, 2000)),
+        ("1s member 1 lags 3s for 1s", fault(Target::Member(1), Fault::Lags(ms(3000)), 1000, 2000)),
+        ("4s group 2 switches to 7", Event::Switch { group: 2, to: 7, at: ms(4000) }),
+    ];
+    for (line, event) in good {
+        assert_eq!(
+            Script::read(&format!("# why\n\n{line}\n")),
+            Ok(Script(vec![event])),
+            "{line}"
+        );
+    }
+    #[rustfmt::skip]
+    let bad = [
+        ("soon member 3 hangs for 1s", "'soon' is no span"),
+        ("2 member 3 hangs for 1s", "'2' is no span"),
+        ("-2s member 3 hangs for 1s", "'-2s' is out of bounds"),
+        ("NaNs member 3 hangs for 1s", "'NaNs' is out of bounds"),
+        ("2s member three hangs for 1s", "'three' is no number"),
+        ("2s somebody hangs for 1s", "names neither member, primary nor group"),
+        ("2s member 3 sulks for 1s", "names no fault"),
+        ("2s member 3 hangs", "doesn't say for how long"),
+        ("2s member 3 hangs for ever", "'ever' is no span"),
+    ];
+    for (line, words) in bad {
+        let told = Script::read(&format!("1s member 1 fails for 1s\n{line}")).expect_err(line);
+        assert!(
+            told.starts_with("line 2: ") && told.contains(words),
+            "{line}: {told}"
+        );
+    }
+}
+
+#[test]
+fn members_do_what_the_script_has_them_do() {
+    let script = "1s member 1 fails for 1s\n1s member 3 lags 3s for 1s\n2s group 1 switches to 2\n3s primary of 1 hangs for 1s\n\
+        4s member 2 loses answers for 1s\n5s member 2 is down for 1s\n6s member 2 slow 70ms for 1s";
+    let mut store = Store::new(2, 2, Script::read(script).expect("reads"), START);
+    let (bounded, any, own, post, dropped) = (0, 1, 2, 3, 4);
+    #[rustfmt::skip]
+    let cases = [
+        // (when, member, workload, after; reply)
+        (0, 1, post, 0, "row"), (0, 2, post, 0, "no primary"), (0, 3, bounded, 0, "row"),
+        (500, 3, own, 450, "row"), (500, 3, own, 490, "behind"), (500, 1, own, 490, "row"),
+        (1500, 1, post, 0, "failed"), (1500, 3, bounded, 0, "row"), (1900, 3, bounded, 0, "behind"), (1900, 3, any, 0, "row"),
+        (1900, 3, own, 980, "row"), (1900, 3, own, 981, "behind"), (2000, 3, own, 1980, "row"),
+        (2500, 1, post, 0, "no primary"), (2500, 2, post, 0, "row"), (2500, 4, dropped, 0, "row"),
+        (3500, 2, post, 0, "never"), (3500, 1, any, 0, "row"),
+        (4500, 2, post, 0, "lost"), (5500, 2, post, 0, "refused"), (6500, 2, post, 0, "row"),
+    ];
+    for (n, (when, member, workload, after, expected)) in cases.into_iter().enumerate() {
+        let (id, after) = (n as u64, START + ms(after));
+        let outcome = store.execute(at(when), member, &Ask { id, workload, after });
+        let got = match outcome.reply {
+            Reply::Row { .. } => "row",
+            Reply::NoPrimary => "no primary",
+            Reply::Behind => "behind",
+            Reply::Failed => "failed",
+            Reply::Lost => "lost",
+            Reply::Never => "never",
+            Reply::Refused => "refused",
+        };
+        assert_eq!(got, expected, "case {n}");
+        let ran = store.effects.contains_key(&id);
+        let wrote = workload >= post && ["row", "failed", "lost"].contains(&got);
+        assert_eq!(
+            ran, wrote,
+            "case {n}: only what ran has an effect, whatever was said"
+        );
+        assert_eq!(outcome.after > ms(50), when == 6500, "case {n}");
+    }
+    // The store drops a repeat of what it may, and no other.
+    for (workload, effects) in [(post, 2), (dropped, 1)] {
+        let asked = Ask {
+            id: 1000 + effects,
+            workload,
+            after: START,
+        };
+        (0..2).for_each(|_| drop(store.execute(at(9000), 4, &asked)));
+        assert_eq!(store.effects[&asked.id].len() as u64, effects);
+    }
+}
+
+#[test]
+fn arrivals_are_the_same_for_the_same_seed_and_keep_their_rate() {
+    let all = |seed| Arrivals::new(&workloads(), 1000.0, 3, ms(10_000), seed).collect::<Vec<_>>();
+    assert_eq!(all(5), all(5));
+    assert_ne!(all(5)[0].id, all(6)[0].id);
+    let own = all(5);
+    assert!((9_500..10_500).contains(&own.len()), "{}", own.len());
+    assert!(own.windows(2).all(|w| w[0].at <= w[1].at));
+    let posts = own.iter().filter(|a| a.workload == 3).count() as f64 / own.len() as f64;
+    assert!((0.13..0.17).contains(&posts), "{posts}");
+    assert!(own.iter().all(|a| (1..=3).contains(&a.group)));
+}
+
+/// Each breach is found, and by itself.
+#[test]
+fn the_judge_finds_each_breach() {
+    let good = |workload| Record {
+        id: 1,
+        workload,
+        group: 1,
+        session: 1,
+        due: at(1000),
+        sent: at(1000),
+        answered: at(1020),
+        told: Told::Row {
+            id: 1,
+            position: at(1005),
+        },
+        more: false,
+    };
+    let (bounded, own, post, dropped) = (0, 2, 3, 4);
+    let row = |id, position| Told::Row {
+        id,
+        position: at(position),
+    };
+    #[rustfmt::skip]
+    let cases: [(&str, Record, usize, Option<usize>); 19] = [
+        ("a read", good(bounded), 0, None),
+        ("a write", good(post), 1, None),
+        ("nothing was said", Record { told: Told::Nothing, ..good(post) }, 0, Some(0)),
+        ("in its last moment", Record { answered: at(1640), ..good(bounded) }, 0, None),
+        ("too late", Record { answered: at(1660), ..good(bounded) }, 0, Some(1)),
+        ("more was said", Record { more: true, ..good(bounded) }, 0, Some(2)),
+        ("another's row", Record { told: row(2, 1005), ..good(bounded) }, 0, Some(3)),
+        ("a write twice", good(post), 2, Some(4)),
+        ("an aborted write twice", Record { told: Told::Aborted, ..good(post) }, 2, Some(4)),
+        ("a dropped write once", good(dropped), 1, None),
+        ("a write never", good(post), 0, Some(5)),
+        ("a dropped write never", good(dropped), 0, Some(5)),
+        ("a rejected write that ran", Record { told: Told::Rejected, ..good(post) }, 1, Some(6)),
+        ("a rejected write that may be repeated", Record { told: Told::Rejected, ..good(dropped) }, 1, None),
+        ("an aborted write that ran", Record { told: Told::Aborted, ..good(post) }, 1, None),
+        ("an aborted write that didn't", Record { told: Told::Aborted, ..good(post) }, 0, None),
+        ("refused", Record { told: Told::Refused, ..good(post) }, 0, None),
+        ("as old as it may be", Record { told: row(1, 160), ..good(bounded) }, 0, None),
+        ("older", Record { told: row(1, 140), ..good(bounded) }, 0, Some(7)),
+    ];
+    for (name, record, ran, broken) in cases {
+        let mut store = Store::new(1, 1, Script::default(), START);
+        store.effects.insert(1, vec![(1, at(1001)); ran]);
+        let report = judge(&store, &[record]);
+        let found: Vec<usize> = (0..BREACHES.len()).filter(|n| report.breaches[*n] > 0).collect();
+        assert_eq!(found, broken.into_iter().collect::<Vec<_>>(), "{name}");
+        assert_eq!(
+            report.to_string().contains("rules kept"),
+            broken.is_none(),
+            "{name}"
+        );
+    }
+    // (the write's group, session and when it was known; the read's position; whether it is stale)
+    #[rustfmt::skip]
+    let sessions = [
+        (1, 1, 990, 980, false), (1, 1, 990, 970, true), (1, 1, 1001, 970, false),
+        (2, 1, 990, 970, false), (1, 2, 990, 970, false),
+    ];
+    for (group, session, answered, position, stale) in sessions {
+        let mut store = Store::new(2, 1, Script::default(), START);
+        store.effects.insert(7, vec![(1, at(975))]);
+        let (sent, told) = (at(970), row(7, 975));
+        let write = Record {
+            id: 7,
+            group,
+            session,
+            sent,
+            due: sent,
+            answered: at(answered),
+            told,
+            ..good(post)
+        };
+        let read = Record {
+            told: row(1, position),
+            ..good(own)
+        };
+        let report = judge(&store, &[write, read]);
+        assert_eq!(
+            report.breaches[8] > 0,
+            stale,
+            "{group} {session} {answered} {position}"
+        );
+        assert_eq!(report.broken(), u64::from(stale));
+    }
+}
+
+#[test]
+fn statements_and_values_are_read_as_they_are_written() {
+    let names = ["view", "post"];
+    let full = "/* id=1f,c=post,d=480,cluster=2,after=1767225600123 */ INSERT";
+    let asked = ask(full, &names).expect("is one");
+    assert_eq!(
+        (asked.id, asked.workload, asked.after.0),
+        (0x1f, 1, 1_767_225_600_123_000)
+    );
+    for bad in [
+        "SELECT 1",
+        "/* id=1f,c=other */",
+        "/* c=post */",
+        "/* id=xyz,c=post */",
+        "/*",
+    ] {
+        assert_eq!(ask(bad, &names), None, "{bad}");
+    }
+    assert_eq!(of_value(&value(0xabc, at(5))), Some((0xabc, at(5))));
+    assert_eq!(of_value(b"whatever"), None);
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -641,7 +641,7 @@
         let spilled = fit.filter(|p| by_turn.is_none() && spills(p));
         // Departure: before a read goes without, a replica whose lag was last heard of long ago may be tried.
         let unsure = |m: usize| f.told_at[m].is_none_or(|at| self.now - at > OVERDUE);
-        let tried = || self.by_turn(g, |m| self.settings.members_check_reads && unsure(m) && takes(m));
+        let tried = || self.by_turn(g, |m| self.is_checked(s) && unsure(m) && takes(m));
         let by_turn = by_turn.or_else(|| spilled.is_none().then(tried).flatten());
         let g = &mut self.groups[g];
         if !ready {
@@ -714,8 +714,13 @@
         };
         let f = &self.members;
         f.position[m] >= need
-            || (self.settings.members_check_reads
-                && f.told_at[m].is_none_or(|at| self.now - (at - f.position[m]) >= need))
+            || (self.is_checked(s) && f.told_at[m].is_none_or(|at| self.now - (at - f.position[m]) >= need))
+    }
+
+    /// A member can check only what it is told: what a session has written, only where its statements carry that.
+    fn is_checked(&self, s: &Stmt) -> bool {
+        let told = self.settings.workloads[s.workload].freshness != Freshness::Session;
+        self.settings.members_check_reads && (told || self.settings.session_age_carried)
     }
 
     /// Not where it failed before, nor outside the zone that drops its repeats once it may have run.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -298,6 +298,29 @@
     }
 }
 
+/// Members that check reads can't check this one: no statement tells them what its session wrote. So a lag that was seen
+/// long ago proves nothing, and an unsure replica isn't tried.
+#[test]
+fn remembered_sessions_are_nobody_elses_to_check() {
+    // (the age is carried by the client; when the replica last told a lag of 20 ms; who takes the session's read)
+    let table = [(false, Some(30), 1), (false, None, 1), (true, Some(30), 2)];
+    for (carried, told, expected) in table {
+        let mut b = bench(&with(|s| s.session_age_carried = carried), 2);
+        b.see(1, 1, 1, true);
+        if let Some(at) = told {
+            b.see(at, 2, at - 20, false);
+        }
+        let (id, _) = b.take(50, WRITE);
+        b.end_seen(150, id, 0, 1, Completed, seen(100, true));
+        let read = Statement {
+            written_ago: carried.then_some(ms(61)),
+            ..statement(77, SESSION, 2000)
+        };
+        let r = b.driver.statement_taken(at(161), &read);
+        assert_eq!(sent_to(&r), [expected], "{carried} {told:?}");
+    }
+}
+
 #[test]
 fn odd_lists_and_counts_break_nothing() {
     let many: Vec<_> = (1..=400).map(member).collect();
