Upgrades with members' faults beside them; a drain told to one process reaches the other

The laboratory's upgrades have a fault of a member beside every second one, a change of primary and drains among them, and it counts executions sent to members long after their drain. A service test tells a drain to one process only; it found that the drains which the new process heard were taken out by the part that serves as former process, so the other was never told. Refusals for want of descriptors and memory are tested with the built program.

--- a/Makefile
+++ b/Makefile
@@ -36,9 +36,11 @@
 fuzz-config:
 	cd crates/config && cargo fuzz run read -- -max_total_time=300
 
-# Twenty upgrades in a row under load, some of them killed; what clients were told is held against what members ran.
-trial-upgrade:
+# Twenty upgrades in a row under load, some of them killed, and twenty with members' faults beside every second one; what
+# clients were told is held against what members ran.
+trial-upgrade: build
 	cargo test -p asterlatch-driver --release --locked --test upgrade -- --ignored --nocapture twenty
+	target/release/asterlatch-lab upgrade --count 20 --rate 1500 --faults --after 1
 
 # SIGKILL on either side at 200 random points of upgrades: make trial-faults SEED=7
 trial-faults:
--- a/crates/driver/src/program/upgrade.rs
+++ b/crates/driver/src/program/upgrade.rs
@@ -197,10 +197,11 @@
 
     /// Has the other process know what binds both.
     fn tell_joint(&mut self, owner: &mut Owner<Log>) {
-        let drains = std::mem::take(&mut owner.drains);
+        // Else they are for the side that took over to tell.
         let Some(link) = self.link.as_ref().filter(|_| self.machine.is_shared()) else {
             return;
         };
+        let drains = std::mem::take(&mut owner.drains);
         let drains = drains
             .iter()
             .filter_map(|(m, since)| self.joint.drains(m, *since));
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -3,12 +3,12 @@
 mod stand;
 use stand::*;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::os::unix::fs::PermissionsExt;
 use std::process::{Command, Output};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -607,6 +607,140 @@
     assert_eq!(ran.len(), 10, "each once");
 }
 
+/// Discovery that tells this list, and each later one to whoever waits for it.
+fn discovery(list: &Arc<Mutex<(u64, String)>>) -> std::net::SocketAddr {
+    let (listener, address) = listener();
+    let list = list.clone();
+    let speak = |mut stream: TcpStream, list: Arc<Mutex<(u64, String)>>| -> std::io::Result<()> {
+        loop {
+            let (mut head, mut byte) = (Vec::new(), [0]);
+            while !head.ends_with(b"\r\n\r\n") {
+                stream.read_exact(&mut byte)?;
+                head.extend(byte);
+            }
+            let head = String::from_utf8_lossy(&head).into_owned();
+            let after = head
+                .split("after=")
+                .nth(1)
+                .and_then(|t| t.split(['&', ' ']).next());
+            let after: Option<u64> = after.and_then(|n| n.parse().ok());
+            let body = loop {
+                let (index, entry) = list.lock().expect("is whole").clone();
+                if after.is_none_or(|after| after < index) {
+                    break format!(r#"{{"index":{index},"snapshot":true,"endpoints":[{entry}]}}"#);
+                }
+                thread::sleep(Duration::from_millis(2));
+            };
+            let length = body.len();
+            write!(
+                stream,
+                "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"
+            )?;
+        }
+    };
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let list = list.clone();
+            thread::spawn(move || speak(stream, list));
+        }
+    });
+    address
+}
+
+/// A drain that only one of both is told binds the other as well, whichever it was.
+#[test]
+fn a_drain_told_to_either_process_binds_both() {
+    for to_new in [true, false] {
+        let member = member(Manner::Answers);
+        let times = TIMES.replace("probation = 200ms", "probation = 10min");
+        let mut stage = Stage::new(&format!("drain-{to_new}"), &member, &times);
+        let entry = |status: &str| {
+            format!(
+                r#"{{"name":"m","address":"{}","zone":"a","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#,
+                member.address
+            )
+        };
+        let list = Arc::new(Mutex::new((2, entry("SERVING"))));
+        let told = discovery(&list);
+        // Each reads its own configuration: the other one's discovery is down.
+        let path = stage.operated.program.path.clone();
+        let before = std::fs::read_to_string(&path).expect("is there");
+        let silent = before
+            .split("\"discovery\":\"")
+            .nth(1)
+            .and_then(|t| t.split('"').next());
+        let after = before.replace(silent.expect("is given"), &told.to_string());
+        std::fs::write(&path, &after).expect("is written");
+        if !to_new {
+            stage.operated.program.signal("HUP");
+            stage.operated.told("configuration: read again");
+            std::fs::write(&path, &before).expect("is written");
+        }
+        let (pid, _asking) = stage.begin();
+        stage.pid = Some(pid);
+        assert_eq!(stage.ask("view", 1), "T D C Z");
+        *list.lock().expect("is whole") = (3, entry("DRAINING"));
+        let other = if to_new {
+            stage.operated.program.child.id()
+        } else {
+            pid
+        };
+        let end = Instant::now() + PATIENCE;
+        loop {
+            stage.signal(other, "USR1");
+            let counters = stage.operated.told("counters: clients_accepted=");
+            if counters.contains(" drains_from_beside=1 ") {
+                break;
+            }
+            assert!(
+                Instant::now() < end,
+                "the other is never told ({to_new}): {counters}"
+            );
+            thread::sleep(Duration::from_millis(50));
+        }
+        // Whoever serves sends nothing there any more: nobody is left for the read, which is told so.
+        let mut client = stage.operated.program.client();
+        let text = "/* id=2,c=view,d=300,cluster=1 */ SELECT 2\0";
+        client
+            .write_all(&message(b'Q', text.as_bytes()))
+            .expect("is written");
+        assert_eq!(answer(&mut client).0, "E53300 Z", "{to_new}");
+        assert_eq!(ran(&member).values().sum::<u32>(), 1, "{to_new}");
+    }
+}
+
+/// What both processes together would need is known before anything is begun.
+#[test]
+fn an_upgrade_without_room_for_two_is_refused_with_its_figures() {
+    let member = member(Manner::Answers);
+    let mut stage = Stage::new("room", &member, TIMES);
+    let path = stage.operated.program.path.clone();
+    let config = std::fs::read_to_string(&path).expect("is there");
+    #[rustfmt::skip]
+    let cases = [
+        (r#""sockets":256"#, r#""sockets":50"#, "descriptors"),
+        (r#""memory_mb":192"#, r#""memory_mb":8"#, "MB"),
+    ];
+    for (n, (before, after, words)) in cases.into_iter().enumerate() {
+        std::fs::write(&path, config.replace(before, after)).expect("is written");
+        stage.operated.program.signal("HUP");
+        stage.operated.told("configuration: read again");
+        let output = stage.request(env!("CARGO_BIN_EXE_asterlatch"));
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        assert_eq!(output.status.code(), Some(1), "{text}");
+        let is_told = text.starts_with("failed: both processes together need") && text.contains(words);
+        assert!(is_told, "{text}");
+        stage
+            .operated
+            .told("upgrade: not begun: both processes together need");
+        assert_eq!(stage.ask("post", n as u32 + 1), "T D C Z");
+    }
+    std::fs::write(&path, config).expect("is written");
+    stage.operated.program.signal("HUP");
+    stage.operated.told("configuration: read again");
+    stage.upgrade();
+}
+
 /// A storm of handshakes at each upgrade is spared: idle connections to members move as well.
 #[test]
 fn idle_connections_to_members_move() {
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -71,6 +71,8 @@
     pub breaches: [u64; BREACHES.len()],
     /// The first of each kind.
     pub first: BTreeMap<usize, u64>,
+    /// Executions that went to members long after their drain was told.
+    pub after_drains: u64,
     pub executions: u64,
     pub connections: u64,
     pub probes: u64,
@@ -94,6 +96,7 @@
 
 pub fn judge(store: &Store, records: &[Record]) -> Report {
     let mut report = Report {
+        after_drains: store.after_drains,
         executions: store.executions,
         connections: store.connections,
         probes: store.probes,
@@ -166,7 +169,7 @@
 impl Report {
     /// Rules broken.
     pub fn broken(&self) -> u64 {
-        self.breaches.iter().sum()
+        self.breaches.iter().sum::<u64>() + self.after_drains
     }
 
     pub fn completed(&self) -> u64 {
@@ -222,6 +225,13 @@
                 BREACHES[n], self.first[&n]
             )?;
         }
+        if self.after_drains > 0 {
+            writeln!(
+                f,
+                "broken: {} executions went to members that drained",
+                self.after_drains
+            )?;
+        }
         write!(f, "{} breaches in {} statements", self.broken(), self.asked())
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -46,6 +46,9 @@
         /// A member's fault beside every second one.
         #[arg(long)]
         faults: bool,
+        /// For how many seconds behind each one its effect is looked at.
+        #[arg(long, default_value_t = 2.0)]
+        after: f64,
     },
 }
 
@@ -63,6 +66,9 @@
     groups: u32,
     #[arg(long, default_value_t = 2)]
     replicas: u32,
+    /// Members answer reads from what they have, however old that is.
+    #[arg(long)]
+    unchecked: bool,
     /// How many may wait for an answer at once.
     #[arg(long, default_value_t = 96)]
     clients: usize,
@@ -73,7 +79,7 @@
 3s member 3 is down for 1s
 4.5s member 9 lags 3s for 1s
 5s group 2 switches to 5
-6.5s member 8 drains for 1.5s
+6s member 8 drains for 3s
 7s member 6 fails for 500ms
 8s member 1 hangs for 400ms
 9s primary of 3 loses answers for 100ms
@@ -89,7 +95,13 @@
 
     fn scene(&self, script: Script) -> io::Result<Scene> {
         let folder = std::env::temp_dir().join(format!("asterlatch-lab-{}", std::process::id()));
-        Scene::start(&self.driver()?, &folder, (self.groups, self.replicas), script)
+        Scene::start(
+            &self.driver()?,
+            &folder,
+            (self.groups, self.replicas),
+            script,
+            !self.unchecked,
+        )
     }
 
     fn load(&self, scene: &Scene, seconds: f64) -> (load::Load, Point) {
@@ -132,22 +144,37 @@
     Ok(conclude(scene, &records))
 }
 
-/// Before each one so much is calm, and its effect is looked at for so long.
+/// Before each one so much is calm.
 const CALM: Span = Span::millis(2000);
-const AFTER: Span = Span::millis(2000);
 
-fn upgrade(common: &Common, count: u32, restart: bool, faults: bool) -> io::Result<bool> {
+fn upgrade(common: &Common, count: u32, restart: bool, faults: bool, behind: Span) -> io::Result<bool> {
     let mut text = String::new();
-    let each = (CALM.0 + AFTER.0) as f64 / 1e6 + 2.0;
+    let each = (CALM.0 + behind.0) as f64 / 1e6 + 2.0;
     for n in (0..count).filter(|n| faults && n % 2 == 1) {
         // While the two serve side by side, and a little on either side of that.
         let at = f64::from(n) * each + CALM.0 as f64 / 1e6 - 0.1;
-        let faults = ["slow 40ms", "is down", "fails", "lags 2s", "drains", "hangs"];
+        let faults = [
+            "slow 40ms",
+            "is down",
+            "switches",
+            "fails",
+            "lags 2s",
+            "drains",
+            "hangs",
+        ];
+        let size = common.replicas + 1;
         let (member, fault) = (
-            n % (common.groups * (common.replicas + 1)) + 1,
+            n % (common.groups * size) + 1,
             faults[(n / 2) as usize % faults.len()],
         );
-        text += &format!("{at}s member {member} {fault} for 700ms\n");
+        text += &match fault {
+            "switches" => {
+                let group = (member - 1) / size + 1;
+                let to = (group - 1) * size + n % size + 1;
+                format!("{}s group {group} switches to {to}\n", at + 0.15)
+            }
+            fault => format!("{at}s member {member} {fault} for 700ms\n"),
+        };
     }
     let mut scene = common.scene(Script::read(&text).map_err(io::Error::other)?)?;
     let (load, from) = common.load(&scene, f64::from(count) * each + 0.5);
@@ -170,7 +197,7 @@
         .iter()
         .map(|(at, _)| (*at - CALM, *at - Span::millis(200)))
         .collect();
-    let after: Vec<_> = spans.iter().map(|(_, end)| (*end, *end + AFTER)).collect();
+    let after: Vec<_> = spans.iter().map(|(_, end)| (*end, *end + behind)).collect();
     let kind = if restart { "restarts" } else { "upgrades" };
     println!("{count} {kind}, {} statements a second", common.rate);
     for (name, spans) in [("before", &calm), ("meanwhile", &spans), ("behind", &after)] {
@@ -216,7 +243,14 @@
             count,
             restart,
             faults,
-        } => upgrade(&common, count, restart, faults),
+            after,
+        } => upgrade(
+            &common,
+            count,
+            restart,
+            faults,
+            Span((after.max(0.0) * 1e6) as u64),
+        ),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/lab/src/scene.rs
+++ b/crates/lab/src/scene.rs
@@ -34,9 +34,12 @@
         folder: &Path,
         (groups, replicas): (u32, u32),
         script: Script,
+        checks: bool,
     ) -> io::Result<Scene> {
         std::fs::create_dir_all(folder)?;
-        let store = Arc::new(Mutex::new(Store::new(groups, replicas, script, unix())));
+        let mut store = Store::new(groups, replicas, script, unix());
+        store.checks = checks;
+        let store = Arc::new(Mutex::new(store));
         let members: Vec<u32> = lock(&store).members().collect();
         let started = members.into_iter().map(|m| Ok((m, member::start(&store, m)?)));
         let addresses: discovery::Addresses = started.collect::<io::Result<_>>()?;
@@ -70,7 +73,7 @@
                         Kind::Write { .. } => "update",
                     }.into()),
                     "staleness_bound_us": each(|k| match k { Kind::Bounded(b) => b.0, _ => 0 }.into()),
-                    "behind": "reject", "tokens": "router", "answers_stamped": true,
+                    "behind": if checks { "reject" } else { "off" }, "tokens": "router", "answers_stamped": true,
                 },
                 "limits": {"cancel": true, "probes": true, "try_limit": 4, "connect_timeout_us": 200_000,
                     "conn_idle_us": 30_000_000, "retry_after": true, "max_retry_after_us": 200_000},
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -4,6 +4,9 @@
 use asterlatch::time::{Point, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// How long after it was listed a draining member may still be sent something, and the protocol's slack.
+const GRACE: Span = Span::millis(2050);
+
 /// What a workload's statements are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -90,6 +93,8 @@
     pub workloads: Vec<Workload>,
     groups: u32,
     replicas: u32,
+    /// Members turn away reads that they are too far behind for; else they answer from what they have.
+    pub checks: bool,
     /// Usual lag of a replica.
     lag: Span,
     /// By statement.
@@ -97,6 +102,8 @@
     /// Executions of reads that went to a primary and to a replica, by tenth of a second.
     pub reads: BTreeMap<u64, (u32, u32)>,
     /// Executions that came, and connections that were opened.
+    /// Executions that came to members which had been listed as draining for longer than the grace.
+    pub after_drains: u64,
     /// Statements that came to any member.
     seen: BTreeSet<u64>,
     pub executions: u64,
@@ -113,9 +120,11 @@
             workloads: workloads(),
             groups,
             replicas,
+            checks: true,
             lag: Span::millis(20),
             effects: BTreeMap::new(),
             reads: BTreeMap::new(),
+            after_drains: 0,
             seen: BTreeSet::new(),
             executions: 0,
             connections: 0,
@@ -193,6 +202,9 @@
     pub fn execute(&mut self, now: Point, member: u32, ask: &Ask) -> Outcome {
         self.executions += 1;
         self.seen.insert(ask.id);
+        let drains = self.script.faults(now - self.started, member, None);
+        let late = drains.filter(|(f, from)| *f == Fault::Drains && now - (self.started + *from) > GRACE);
+        self.after_drains += u64::from(late.count() > 0);
         let faults: Vec<Fault> = self.faults(now, member).collect();
         let (is_primary, position) = (self.is_primary(now, member), self.position(now, member));
         let slow = faults.iter().filter_map(|f| match f {
@@ -228,7 +240,7 @@
                 Kind::Own => ask.after,
                 Kind::Any | Kind::Write { .. } => Point(0),
             };
-            if position < needed {
+            if self.checks && position < needed {
                 return end(Reply::Behind);
             }
         }
--- a/crates/lab/tests/decisions.rs
+++ b/crates/lab/tests/decisions.rs
@@ -100,6 +100,19 @@
         );
         assert_eq!(outcome.after > ms(50), when == 6500, "case {n}");
     }
+    // (how long it has been draining; whether what is sent there then breaks the rule)
+    for (long, broken) in [(0, 0), (2050, 0), (2051, 1)] {
+        let script = Script::read("1s member 2 drains for 9s").expect("reads");
+        let mut store = Store::new(1, 1, script, START);
+        let (id, after) = (1, START);
+        let workload = any;
+        store.execute(at(1000 + long), 2, &Ask { id, workload, after });
+        assert_eq!(
+            (store.after_drains, judge(&store, &[]).broken()),
+            (broken, broken),
+            "{long}"
+        );
+    }
     // The store drops a repeat of what it may, and no other.
     for (workload, effects) in [(post, 2), (dropped, 1)] {
         let asked = Ask {
--- a/tests/beside.rs
+++ b/tests/beside.rs
@@ -36,7 +36,7 @@
     let told = |b: &mut Bench| b.told(1, started(1, at(0)));
     told(&mut alone);
     let (mut old, mut new) = (bench(&settings, 1), bench(&settings, 1));
-    [&mut old, &mut new].map(told);
+    [&mut old, &mut new].into_iter().for_each(|b| drop(told(b)));
     old.driver.beside(at(2), yields);
     new.driver.beside(at(2), false);
     let mut sent = [0; 3];
