--- a/crates/driver/src/program/upgrade.rs
+++ b/crates/driver/src/program/upgrade.rs
@@ -160,7 +160,14 @@
     }
 
     fn ask(&mut self, owner: &mut Owner<Log>, now: Point, binary: PathBuf, reply: Option<UnixStream>) {
-        if self.machine.phase != old::Phase::Serving {
+        if let Err(why) = fit::check(&self.measure(owner)) {
+            log!(owner.observer, now, "upgrade", "not begun: {why}");
+            reply.map(|mut r| writeln!(r, "failed: {why}"));
+            return;
+        }
+        let effects = self.machine.take(now, old::Input::Ask);
+        if effects.contains(&old::Effect::Tell(Told::Busy)) {
+            // Whoever asked before is still to be told of that one.
             log!(
                 owner.observer,
                 now,
@@ -170,13 +177,8 @@
             reply.map(|mut r| writeln!(r, "failed: another upgrade is under way"));
             return;
         }
-        if let Err(why) = fit::check(&self.measure(owner)) {
-            log!(owner.observer, now, "upgrade", "not begun: {why}");
-            reply.map(|mut r| writeln!(r, "failed: {why}"));
-            return;
-        }
         (self.binary, self.reply) = (binary, reply);
-        self.take(owner, now, old::Input::Ask);
+        self.carry_out(owner, now, effects);
     }
 
     /// What both processes would have and need. What the kernel doesn't tell is taken for nothing.
@@ -248,7 +250,12 @@
     }
 
     fn take(&mut self, owner: &mut Owner<Log>, now: Point, input: old::Input) {
-        for effect in self.machine.take(now, input) {
+        let effects = self.machine.take(now, input);
+        self.carry_out(owner, now, effects);
+    }
+
+    fn carry_out(&mut self, owner: &mut Owner<Log>, now: Point, effects: Vec<old::Effect>) {
+        for effect in effects {
             match effect {
                 old::Effect::Start => self.start(),
                 old::Effect::SendState => match written(owner, now, self.settings) {
--- a/crates/lab/tests/decisions.rs
+++ b/crates/lab/tests/decisions.rs
@@ -120,7 +120,9 @@
             workload,
             after: START,
         };
-        (0..2).for_each(|_| drop(store.execute(at(9000), 4, &asked)));
+        for _ in 0..2 {
+            store.execute(at(9000), 4, &asked);
+        }
         assert_eq!(store.effects[&asked.id].len() as u64, effects);
     }
 }
--- a/crates/takeover/tests/beside.rs
+++ b/crates/takeover/tests/beside.rs
@@ -42,7 +42,8 @@
     };
     let mut joint = Joint::default();
     #[rustfmt::skip]
-    let steps: [(&[(&str, u32)], &[(&str, u32)]); 5] = [
+    type Counts<'a> = &'a [(&'a str, u32)];
+    let steps: [(Counts, Counts); 5] = [
         (&[("a", 1), ("b", 2)], &[("a", 1), ("b", 2)]),
         (&[("a", 1), ("b", 2)], &[]),
         (&[("a", 1), ("b", 1), ("c", 4)], &[("b", 1), ("c", 4)]),
