Clients that a new process has no descriptor for are let go at once

The kernel drops what a process has no descriptor for: its client would have waited for an answer that couldn't come until the probation was over. The new process tells, the former one closes its copy. Test: a new process under ulimit -n 50 and 60 clients.

--- a/crates/driver/src/program/kept.rs
+++ b/crates/driver/src/program/kept.rs
@@ -73,6 +73,15 @@
         }
     }
 
+    /// One that the other process could not hold: its client sees the end, and comes again.
+    pub fn missing(&self, handed: u64) {
+        let mut table = self.table();
+        if let Some(ledger) = &mut table.ledger {
+            ledger.missing(handed);
+        }
+        table.sockets.remove(&Key::Handed(handed));
+    }
+
     fn take(&self, record: Record, descriptor: Option<OwnedFd>) {
         let mut table = self.table();
         let table = &mut *table;
--- a/crates/driver/src/program/upgrade.rs
+++ b/crates/driver/src/program/upgrade.rs
@@ -231,6 +231,10 @@
             if let old::Input::Heard(Message::Joint(words)) = &input {
                 bind(owner, now, &mut self.joint, words);
             }
+            if let old::Input::Heard(Message::Missing(handed)) = &input {
+                self.kept.missing(*handed);
+                owner.figures.clients_cut += 1;
+            }
             self.take(owner, now, input);
         }
         if self.machine.next_at() <= now {
@@ -679,10 +683,13 @@
         let Some(mut reader) = self.reader.take() else {
             return Ok(());
         };
+        let socket = self.socket.try_clone().map_err(|e| format!("takeover: {e}"))?;
         let hear = move || loop {
             let heard = match reader.read() {
                 Came::Message(Message::Client(client), descriptors) => {
                     let Some(stream) = descriptors.into_iter().next() else {
+                        // The kernel drops what a process has no descriptor for.
+                        let _ = send(&socket, &Message::Missing(client.handed), &[]);
                         continue;
                     };
                     let standing = Standing {
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -709,6 +709,49 @@
     }
 }
 
+/// A new process that may hold fewer descriptors: who finds no place there is let go and comes again, nobody waits for
+/// an answer that can't come; and one that has closed its own direction is let go as ever.
+#[test]
+fn clients_that_the_new_process_cannot_hold_are_let_go() {
+    let member = member(Manner::Answers);
+    let mut stage = Stage::new(
+        "few-descriptors",
+        &member,
+        &TIMES.replace("probation = 200ms", "probation = 1s"),
+    );
+    let mut clients: Vec<_> = (0..60).map(|_| stage.operated.program.client()).collect();
+    let half = clients.pop().expect("one");
+    half.shutdown(std::net::Shutdown::Write).expect("is closed");
+    let binary = env!("CARGO_BIN_EXE_asterlatch");
+    let script = format!("#!/bin/sh\nulimit -n 50\nexec {binary} \"$@\"\n");
+    let path = stage.folder.write("small", &script);
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).expect("is set");
+    let mut command = stage.command(&path);
+    let asking = thread::spawn(move || command.output().expect("runs"));
+    let begun = stage.operated.told("upgrade: begun, to");
+    stage.pid = begun.rsplit(' ').next().and_then(|n| n.parse().ok());
+    stage.operated.told("the new process could serve and is told to");
+    let (mut served, mut let_go) = (0, 0);
+    for (n, client) in clients.iter_mut().enumerate() {
+        // To one that was let go it may not even be written.
+        let _ = client.write_all(&statement("post", n as u32 + 1));
+        match answer(client).0.as_str() {
+            "T D C Z" => served += 1,
+            "" => let_go += 1,
+            // No descriptor is left for a member either.
+            "E53300 Z" => {}
+            other => panic!("client {n}: {other}"),
+        }
+    }
+    assert!(asking.join().expect("ends").status.success());
+    assert!(served > 0 && let_go > 5, "{served} served, {let_go} let go");
+    assert_eq!(
+        ran(&member).values().filter(|n| **n == 1).count(),
+        served,
+        "each once"
+    );
+}
+
 /// What both processes together would need is known before anything is begun.
 #[test]
 fn an_upgrade_without_room_for_two_is_refused_with_its_figures() {
--- a/crates/takeover/src/ledger.rs
+++ b/crates/takeover/src/ledger.rs
@@ -281,6 +281,15 @@
         self.bounded()
     }
 
+    /// A client that was handed over didn't arrive.
+    pub fn missing(&mut self, handed: u64) {
+        let size = self
+            .handed
+            .remove(&handed)
+            .map_or(0, |start| ENTRY + start.input.len());
+        self.kept -= size;
+    }
+
     fn bounded(&self) -> Result<(), Broken> {
         if self.kept > self.most {
             return Err(Broken::Full);
--- a/crates/takeover/src/message.rs
+++ b/crates/takeover/src/message.rs
@@ -29,6 +29,8 @@
     Member(u32),
     /// Either: what binds both.
     Joint(Vec<Word>),
+    /// New: the client with this number came without its connection, for want of descriptors.
+    Missing(u64),
     /// New: it still serves.
     Beat,
     /// New: its probation is over.
--- a/crates/takeover/src/old.rs
+++ b/crates/takeover/src/old.rs
@@ -278,7 +278,7 @@
                 format!("the new process speaks version {version} of the takeover, this one {VERSION}")
             }
             // What binds both may be on its way whatever else goes on.
-            Input::Heard(Message::Joint(_)) => return None,
+            Input::Heard(Message::Joint(_) | Message::Missing(_)) => return None,
             Input::Heard(other) => format!("the new process said {other:?} while {:?}", self.phase),
             _ => return None,
         };
