Large fleets: no greeting of members that reads can ask, twice the cold budget, early word

Members are probed half as often by all together. Figures and budgets of a fleet stand in a module of their own, src/fleet.rs, without I/O.

--- a/crates/driver/src/program/upgrade.rs
+++ b/crates/driver/src/program/upgrade.rs
@@ -777,7 +777,6 @@
         }
         // Nothing of the former one is out any more.
         if self.ended && std::mem::take(&mut self.is_shared) {
-            owner.forget_beside(now);
             owner.share(now, false, false);
         }
         let drains = std::mem::take(&mut owner.drains);
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -392,12 +392,6 @@
         }
     }
 
-    /// The other process is gone, and with it all it had out.
-    pub fn forget_beside(&mut self, now: Point) {
-        let results = self.module.alone(now);
-        self.carry_out(now, results);
-    }
-
     /// What is held now, for who asks whether another process has room beside this one.
     pub fn held(&self) -> (usize, usize) {
         (self.clients.count(), self.memory_taken())
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,6 +3,7 @@
 //! `src/time.rs`, what a driver remembers in `src/state.rs`. After each input the `RULES` are gone through in
 //! order, again and again, until none fires.
 
+use crate::fleet::Fleet;
 use crate::interface::Ending::*;
 use crate::interface::*;
 use crate::state::*;
@@ -17,16 +18,11 @@
 const HOLD: Span = Span::millis(250);
 /// A wake-up later than this shows that the driver itself was held up.
 const STALL: Span = Span::millis(50);
-/// What found no place is told after this part of its time; later where drivers are many and probes rarer.
+/// What found no place is told after this part of its time.
 const UNSENT: f64 = 0.45;
 /// Before another try where the same members are all there is.
 const RETRY: Span = Span::millis(50);
-/// Members whose state is wanted are probed this often: shunned, lagging, or of a group without a primary.
-const PROBE_GAP: Span = Span::millis(300);
-/// But a member no oftener than this by all drivers together, for all want the same news at once.
-const PROBE_EACH: Span = Span::millis(30);
-/// Bounds on concurrency: the first one, for all drivers together; mean time of answers to the SLO time.
-const FIRST_LIMIT: f64 = 8.0;
+/// Bounds on concurrency: mean time of answers to the SLO time.
 const GOOD_PACE: f64 = 0.28;
 const BAD_PACE: f64 = 0.38;
 /// What a late execution counts at most: a few stuck ones don't make a member crowded.
@@ -55,10 +51,6 @@
 const SESSIONS_KEPT: usize = 50_000;
 /// Between calls for the list after a failure, as a share of the time in which the list must be asked for.
 const ASK_SHARE: f64 = 0.1;
-/// Share of a cold member's budget that is used, since drivers can't see each other's sends; and how often that
-/// may be what warm members carry on the mean, while its own answers show that it bears more.
-const COLD_CAUTION: f64 = 0.5;
-const COLD_PROVEN: f64 = 2.0;
 
 const RULES: [fn(&mut Driver) -> bool; 7] = [
     Driver::answer_in_time,
@@ -70,11 +62,13 @@
     Driver::ask_for_list,
 ];
 
-/// Written out it is what was learned: statements and what runs for them stay with the process that took them.
+/// Written out it is what was learned: statements and their executions stay with the process that took them.
 #[derive(Default, Serialize, Deserialize)]
 pub struct Driver {
     #[serde(skip)]
     settings: Settings,
+    #[serde(skip)]
+    fleet: Fleet,
     now: Point,
     chance: Chance,
     /// Smoothed time that an answer takes, by workload.
@@ -138,15 +132,17 @@
             chance: Chance { seed, drawn: 0 },
             ask_at: settings.list_on_request.then_some(now),
             settings: settings.clone(),
+            fleet: Fleet::of(settings.driver_count),
             ..Driver::default()
         }
     }
 
-    /// Goes on from what another process has learned, whose clock this one shares. Not inherited is the belief that a
-    /// member owes something: that is the other's. Its idle connections stand only if they came along.
+    /// Goes on from what another process has learned, whose clock this one shares. Not inherited is the belief
+    /// that a member owes something: that is the other's. Its idle connections stand only if they came along.
     pub fn resume(learned: Driver, settings: &Settings, idle_came: bool, now: Point) -> Driver {
         let settings = settings.clone();
         let mut d = Driver {
+            fleet: Fleet::of(settings.driver_count),
             settings,
             now,
             ..learned
@@ -164,16 +160,17 @@
         d
     }
 
-    /// Another process with this one's memory begins to serve beside it, or is gone again (`yields`: this one leaves cold
-    /// members to it). What either may have sent there by now is not known here, so it counts as sent just now.
+    /// Another process with this one's memory begins to serve beside it (`yields`: this one leaves cold members to
+    /// it), or is gone. What either may have sent there by now isn't known here: it counts as sent just now.
     pub fn beside(&mut self, now: Point, yields: bool) -> Results {
         self.hear(now);
         let longest = self.longest_typical();
         self.yields = yields;
-        for m in 0..self.members.id.len() {
-            (self.members.debt_at[m], self.members.debt[m]) = (now, longest);
-            self.touched.push(m);
-        }
+        let f = &mut self.members;
+        f.debt_at.fill(now);
+        f.debt.fill(longest);
+        f.elsewhere.fill(0);
+        self.touched.extend(self.members.index.values());
         self.settle()
     }
 
@@ -187,14 +184,6 @@
         self.settle()
     }
 
-    /// The other process is gone, and with it all it had out.
-    pub fn alone(&mut self, now: Point) -> Results {
-        self.hear(now);
-        self.members.elsewhere.fill(0);
-        self.changed.extend(0..self.groups.all.len());
-        self.settle()
-    }
-
     /// The other process was told that a member drains or is gone, as one that started then.
     pub fn drain_told(&mut self, now: Point, member: u32, started: Option<Point>) -> Results {
         self.hear(now);
@@ -213,9 +202,9 @@
         self.hear(now);
         let group = self.groups.at(s.group);
         // Each driver has an even part of a tenant's quota.
-        let drivers = f64::from(self.settings.driver_count);
+        let fleet = self.fleet;
         let quota = self.settings.tenant_quotas.get(s.tenant);
-        let within = quota.is_none_or(|q| self.quotas.draw(s.tenant, q / drivers, now));
+        let within = quota.is_none_or(|q| self.quotas.draw(s.tenant, fleet.part(*q), now));
         let beyond = self.settings.over_quota_share;
         let share = if within { 1.0 } else { beyond };
         let slack = self.settings.tick + self.settings.tick;
@@ -249,7 +238,7 @@
             slo_at: now + (w.slo_time - slack - passed),
             answer_by: now + (s.left - slack),
             send_by: now + s.left,
-            unsent_by: now + s.left * (UNSENT * drivers * PROBE_EACH.ratio(PROBE_GAP)).clamp(UNSENT, 1.0),
+            unsent_by: now + s.left * UNSENT,
             ..Stmt::default()
         };
         self.stmts.insert(s.id, stmt);
@@ -287,7 +276,7 @@
             self.touched.push(m);
             if ok {
                 f.owes_since[m] = now;
-                // It lives: what it owed all the while is lost on its way or stuck, and keeps no room from others.
+                // It lives: what it owed all the while is lost on its way or stuck, and keeps no room.
                 if std::mem::take(&mut f.shunned[m]) {
                     let runs = self.running.values_mut();
                     let lost = runs.fold(0, |n, r| n + usize::from(r.lose(m, before)));
@@ -314,7 +303,7 @@
             let g = &mut self.groups[self.members.group[m]];
             let f = &mut self.members;
             g.depose(m);
-            // A long day of ever new members would fill the memory and each turn; what is open may mean one still.
+            // A long day of ever new members would fill memory and turns; what is open may mean one still.
             if f.standing[m] == Standing::Gone && !meant.contains(&m) {
                 g.members.retain(|n| *n != m);
                 self.watch.put(m, f.watch_at[m], None);
@@ -351,7 +340,7 @@
         if !known || e.started > f.started[m] {
             // It may be cold, and is no longer primary whatever it was.
             f.started[m] = e.started;
-            f.limit[m] = (FIRST_LIMIT / f64::from(self.settings.driver_count)).max(1.0);
+            f.limit[m] = self.fleet.first_limit();
             (f.shunned[m], f.drained[m]) = (false, false);
             (f.probe_at[m], f.debt_at[m]) = (self.now, self.now);
             // Drivers that hear of it together must not send to it together.
@@ -554,8 +543,7 @@
             self.shun(m);
         }
         if self.probe_due(m).is_some_and(|at| at <= self.now) {
-            let drivers = f64::from(self.settings.driver_count);
-            self.members.probe_at[m] = self.now + PROBE_GAP.max(PROBE_EACH * drivers);
+            self.members.probe_at[m] = self.now + self.fleet.probe_gap();
             self.results.probes.push(self.members.id[m]);
         }
         self.changed.insert(self.members.group[m]);
@@ -717,7 +705,7 @@
             || (self.is_checked(s) && f.told_at[m].is_none_or(|at| self.now - (at - f.position[m]) >= need))
     }
 
-    /// A member can check only what it is told: what a session has written, only where its statements carry that.
+    /// A member can check only what it is told: what a session has written, only where statements carry that.
     fn is_checked(&self, s: &Stmt) -> bool {
         let told = self.settings.workloads[s.workload].freshness != Freshness::Session;
         self.settings.members_check_reads && (told || self.settings.session_age_carried)
@@ -761,9 +749,9 @@
         }
         let share = f.size[m] / self.warm_size.max(0.01);
         let carried = self.borne.total.ratio(self.settings.fall_span) * share.min(1.0);
-        let pays = carried.max(1.0 / f64::from(self.settings.driver_count)) * warmth;
+        let pays = self.fleet.cold_carried(carried) * warmth;
         let proves = !self.sparse() && f.pace[m] < GOOD_PACE;
-        let used = (COLD_CAUTION * self.settings.fall_multiple).min(if proves { COLD_PROVEN } else { 1.0 });
+        let used = self.fleet.cold_multiple(self.settings.fall_multiple, proves);
         f.debt_at[m] + f.debt[m] * (1.0 / (pays * used))
     }
 
@@ -780,7 +768,9 @@
     fn probe_due(&self, m: usize) -> Option<Point> {
         let f = &self.members;
         let g = &self.groups[f.group[m]];
-        let wanted = f.told_at[m].is_none() && !f.said_replica[m] || f.shunned[m] || g.wants_primary;
+        let unknown = f.told_at[m].is_none() && !f.said_replica[m];
+        let greeted = unknown && self.fleet.greets(self.settings.members_check_reads);
+        let wanted = greeted || f.shunned[m] || g.wants_primary;
         // An ageing position needs a way back: answers give it, a probe where none come.
         let ageing = !self.settings.members_check_reads && g.lacking_until > self.now && Some(m) != g.primary;
         let aged_at = f.probe_at[m].max(f.told_at[m].unwrap_or_default() + OVERDUE);
--- a/tests/beside.rs
+++ b/tests/beside.rs
@@ -18,7 +18,7 @@
         let (_, r) = again.take(1, WRITE);
         let went = sent_to(&r).len();
         let less = again.driver.open_elsewhere(at(2), 1, 3);
-        let alone = again.driver.alone(at(3));
+        let alone = again.driver.beside(at(3), false);
         assert_eq!(
             went + sent_to(&less).len() + sent_to(&alone).len(),
             1,
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -89,8 +89,14 @@
 #[test]
 fn what_found_no_place_is_told_before_half_of_its_time() {
     // Behind a primary that is lost, or one that is up and full: a client that hears of it at the end can do
-    // nothing any more. Many drivers hear so late that a member is back that they go on waiting.
-    for (reached, drivers, told) in [(false, 1, "rejected"), (true, 1, "rejected"), (false, 40, "")] {
+    // nothing any more, and what was sent nowhere is dearer then. That holds for many drivers as well: the client
+    // may come to one that knows more.
+    for (reached, drivers, told) in [
+        (false, 1, "rejected"),
+        (true, 1, "rejected"),
+        (false, 40, "rejected"),
+        (false, 300, "rejected"),
+    ] {
         let change = |s: &mut Settings| {
             (s.workloads[WRITE].slo_time, s.workloads[WRITE].late_share) = (ms(5000), 0.5);
             s.driver_count = drivers;
@@ -121,6 +127,31 @@
     assert!(driver.time_reached(at(1)).probes.is_empty());
 }
 
+/// Three hundred drivers that wake in the same millisecond would ask each member as often: where members turn away what
+/// they are too far behind for, a read finds out as well.
+#[test]
+fn many_fresh_drivers_greet_nobody_whom_a_read_can_ask() {
+    // (drivers, members check reads; probes at first, and where a read then goes)
+    let table = [(5, true, 3), (6, true, 0), (300, true, 0), (300, false, 3)];
+    for (drivers, checks, probes) in table {
+        let change = |s: &mut Settings| (s.driver_count, s.members_check_reads) = (drivers, checks);
+        let mut driver = asterlatch::choice::Driver::new(&with(change), 1, at(0));
+        let r = driver.members_told(at(0), &[member(1), member(2), member(3)], true);
+        assert_eq!(r.probes.len(), probes, "{drivers} {checks}");
+        let r = driver.statement_taken(at(1), &statement(1, BOUNDED, 2000));
+        let expected = if checks { 2..=3 } else { 1..=1 };
+        assert!(
+            sent_to(&r).iter().all(|m| expected.contains(m)) && sent_to(&r).len() == 1,
+            "{drivers} {checks}"
+        );
+        // A group whose primary is lost is still asked, or nobody would hear of the next one.
+        let r = driver.members_told(at(2), &[drained(1)], false);
+        let write = driver.statement_taken(at(3), &statement(2, WRITE, 2000));
+        let asked = r.probes.len() + write.probes.len();
+        assert!(asked > 0 || probes > 0, "{drivers} {checks}");
+    }
+}
+
 #[test]
 fn the_list_is_asked_for_again_after_a_failure() {
     for on_request in [true, false] {
