--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,7 +7,7 @@
 /// Members whose state is wanted are probed this often: shunned, lagging, or of a group without a primary.
 const PROBE_GAP: Span = Span::millis(300);
 /// But a member no oftener than this by all drivers together, for all want the same news at once.
-const PROBE_EACH: Span = Span::millis(60);
+const PROBE_EACH: Span = Span::millis(15);
 /// First bound on executions at a member, for all drivers together.
 const FIRST_LIMIT: f64 = 8.0;
 /// Share of a cold member's budget that is used, since drivers can't see each other's sends; and how often that may be
