Silence pooled by zone: late reads leave a zone from which nothing comes

A driver sends each member one statement in some ten seconds, so overdue members are found when the cut is over. Change: two executions late in a zone (2.5 of the longest typical time) and nothing heard from there since make it silent; what is late there and idempotent is called off where another zone's replica can answer in time, and turns go first over zones that answer, for 1.5 s or until something is heard.

--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -198,7 +198,7 @@
             harmless: settings
                 .workloads
                 .iter()
-                .map(choice::repeats_harmlessly)
+                .map(WorkloadSettings::repeats_harmlessly)
                 .collect(),
             moved_connections: Vec::new(),
             adopted: 0,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,7 @@
 //! `src/time.rs`, what a driver remembers in `src/state.rs`. After each input the `RULES` are gone through in
 //! order, again and again, until none fires.
 
-use crate::fleet::Fleet;
+use crate::fleet::{self, Fleet, Zones};
 use crate::interface::Ending::*;
 use crate::interface::*;
 use crate::state::*;
@@ -52,10 +52,11 @@
 /// Between calls for the list after a failure, as a share of the time in which the list must be asked for.
 const ASK_SHARE: f64 = 0.1;
 
-const RULES: [fn(&mut Driver) -> bool; 7] = [
+const RULES: [fn(&mut Driver) -> bool; 8] = [
     Driver::answer_in_time,
     Driver::give_up_the_worthless,
     Driver::release_held,
+    Driver::leave_silent_zones,
     Driver::plan_touched,
     Driver::look_at_members,
     Driver::place_waiting,
@@ -73,6 +74,7 @@
     chance: Chance,
     /// Smoothed time that an answer takes, by workload.
     typical: Vec<Span>,
+    zones: Zones,
     /// How long clients wait for first tries, by workload.
     first_left: Vec<Span>,
     members: Members,
@@ -114,11 +116,6 @@
     matches!(ending, TurnedAway | NoConnection | NeverSent | Missed)
 }
 
-/// Whether a client may repeat such a statement under another id, though it may have run.
-pub fn repeats_harmlessly(w: &WorkloadSettings) -> bool {
-    w.repeat == Repeat::Idempotent || w.repeat == Repeat::Deduplicated && w.scope == Scope::All
-}
-
 fn needs_primary(settings: &Settings, w: usize) -> bool {
     let needs = settings.workloads[w].freshness;
     needs == Freshness::Write || needs == Freshness::Fresh
@@ -137,8 +134,8 @@
         }
     }
 
-    /// Goes on from what another process has learned, whose clock this one shares. Not inherited is the belief
-    /// that a member owes something: that is the other's. Its idle connections stand only if they came along.
+    /// Goes on from what another process has learned, whose clock this one shares. That a member owes is
+    /// the other's belief, and not inherited. Its idle connections stand only if they came along.
     pub fn resume(learned: Driver, settings: &Settings, idle_came: bool, now: Point) -> Driver {
         let settings = settings.clone();
         let mut d = Driver {
@@ -160,16 +157,13 @@
         d
     }
 
-    /// Another process with this one's memory begins to serve beside it (`yields`: this one leaves cold members to
-    /// it), or is gone. What either may have sent there by now isn't known here: it counts as sent just now.
+    /// Another process with this one's memory serves beside it (`yields`: it gets the cold members), or is
+    /// gone. What either may have sent there by now isn't known here: it counts as sent just now.
     pub fn beside(&mut self, now: Point, yields: bool) -> Results {
         self.hear(now);
         let longest = self.longest_typical();
         self.yields = yields;
-        let f = &mut self.members;
-        f.debt_at.fill(now);
-        f.debt.fill(longest);
-        f.elsewhere.fill(0);
+        self.members.reckon_anew(now, longest);
         self.touched.extend(self.members.index.values());
         self.settle()
     }
@@ -202,11 +196,13 @@
         self.hear(now);
         let group = self.groups.at(s.group);
         // Each driver has an even part of a tenant's quota.
-        let fleet = self.fleet;
         let quota = self.settings.tenant_quotas.get(s.tenant);
-        let within = quota.is_none_or(|q| self.quotas.draw(s.tenant, fleet.part(*q), now));
-        let beyond = self.settings.over_quota_share;
-        let share = if within { 1.0 } else { beyond };
+        let within = quota.is_none_or(|q| self.quotas.draw(s.tenant, self.fleet.part(*q), now));
+        let share = if within {
+            1.0
+        } else {
+            self.settings.over_quota_share
+        };
         let slack = self.settings.tick + self.settings.tick;
         let w = &self.settings.workloads[s.workload];
         let work = s.work.unwrap_or(self.typical[s.workload]);
@@ -399,6 +395,7 @@
         self.touched.push(m);
         let answered = matches!(end.ending, Completed | Missed | Errored | TurnedAway);
         if answered {
+            self.zones.hear(f.zone[m], now);
             (f.owes_since[m], f.shunned[m]) = (now, false);
         } else if end.ending != NeverSent {
             f.connections[m] = f.connections[m].saturating_sub(1);
@@ -513,6 +510,31 @@
         over.inspect(|id| self.finish(*id)).is_some()
     }
 
+    /// Behind a cut each member is met too rarely to be found out alone: what is silent may be the zone.
+    fn is_quiet(&self, m: usize) -> bool {
+        let (of, zones, longest) = (&self.members.zone, &self.zones, self.longest_typical());
+        let out = self.running.values().filter(|r| of[r.member] == of[m]);
+        self.sparse() && zones.is_silent(of[m], &mut out.map(|r| r.sent), self.now, longest)
+    }
+
+    /// What is late in a silent zone is called off where another one's replica can still answer in time.
+    fn leave_silent_zones(&mut self) -> bool {
+        let late = fleet::late_since(self.now, self.longest_typical());
+        let leaves = |(&(id, _), r): (&(u32, u8), &Running)| {
+            let may = self.settings.workloads[r.workload].repeat == Repeat::Idempotent && !r.called_off;
+            let s = self.stmts.get(&id)?;
+            let more = self.settings.cancel_allowed && s.executions < self.settings.max_executions;
+            let hope = r.sent < late && self.now < self.last_chance(s);
+            let g = &self.groups[s.group];
+            let other = |m: &usize| Some(*m) != g.primary && self.fits(*m, s) && !self.is_quiet(*m);
+            let leaves = may && more && hope && Some(r.member) != g.primary && self.is_quiet(r.member);
+            (leaves && g.members.iter().any(other)).then_some((id, r.member))
+        };
+        let found = self.running.iter().find_map(leaves);
+        found.inspect(|(_, m)| self.zones.leave(self.members.zone[*m], self.now));
+        found.inspect(|(id, _)| self.call_off(*id)).is_some()
+    }
+
     /// A due time that ended nothing: a hold is over, or the statement's rank has changed.
     fn release_held(&mut self) -> bool {
         self.due.ready(self.now).inspect(|id| self.queue(*id)).is_some()
@@ -619,8 +641,12 @@
         let ready = self.by_turn(g, |m| fits(m) && self.covers(m, s)).is_some();
         // Departure: while new connections are dear, first a turn over the replicas that one stands to.
         let spared = |m| self.setup > DEAR && self.connected(m) && self.covers(m, s) && takes(m);
-        let by_turn = self.by_turn(g, spared);
-        let by_turn = by_turn.or_else(|| self.by_turn(g, |m| self.covers(m, s) && takes(m)));
+        let quiet = |m: usize, minds: bool| minds && self.is_quiet(m);
+        let turn = |minds| self.by_turn(g, |m| self.covers(m, s) && takes(m) && !quiet(m, minds));
+        let by_turn = self
+            .by_turn(g, spared)
+            .or_else(|| turn(true))
+            .or_else(|| turn(false));
         // Departure: where all ready replicas are full, the primary takes reads too; with half of its bound
         // where a driver fills that alone, or its own work would find no place.
         let f = &self.members;
@@ -723,7 +749,6 @@
         let f = &self.members;
         let spared = self.setup > DEAR && !self.connected(m) && f.connections[m] > 0 && self.sparse();
         let (cold, out) = (self.cold_until(m), f.open[m] + f.elsewhere[m]);
-        // A second one here would be beyond what one driver may send.
         let kept = self.yields && cold > Point(0);
         (out as f64) < f.limit[m] && cold <= self.now && !spared && !kept
     }
@@ -768,9 +793,9 @@
     fn probe_due(&self, m: usize) -> Option<Point> {
         let f = &self.members;
         let g = &self.groups[f.group[m]];
-        let unknown = f.told_at[m].is_none() && !f.said_replica[m];
-        let greeted = unknown && self.fleet.greets(self.settings.members_check_reads);
-        let wanted = greeted || f.shunned[m] || g.wants_primary;
+        let greets = self.fleet.greets(self.settings.members_check_reads);
+        let unknown = greets && f.told_at[m].is_none() && !f.said_replica[m];
+        let wanted = unknown || f.shunned[m] || g.wants_primary;
         // An ageing position needs a way back: answers give it, a probe where none come.
         let ageing = !self.settings.members_check_reads && g.lacking_until > self.now && Some(m) != g.primary;
         let aged_at = f.probe_at[m].max(f.told_at[m].unwrap_or_default() + OVERDUE);
@@ -864,7 +889,7 @@
     fn finish(&mut self, id: u32) {
         let Some(s) = self.stmts.get(&id) else { return };
         let w = &self.settings.workloads[s.workload];
-        let harmless = repeats_harmlessly(w) || s.doubt.is_none() && !self.is_out(id);
+        let harmless = w.repeats_harmlessly() || s.doubt.is_none() && !self.is_out(id);
         // A repeat that may still count should come at once; any other only adds to the load.
         let worthwhile = self.now + self.typical[s.workload] < s.slo_at;
         let hold_off = self.settings.max_hold_off * if worthwhile { 0.0 } else { 1.0 };
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -2,7 +2,8 @@
 //! of the members only what its own thin traffic shows; what each does alone adds up over all. So here stand the parts
 //! of one driver in what all may do together, and what it does where it can't wait to learn. Nothing here chooses.
 
-use crate::time::Span;
+use crate::time::{Point, Span};
+use serde::{Deserialize, Serialize};
 
 /// Members whose state is wanted are probed this often: shunned, lagging, or of a group without a primary.
 const PROBE_GAP: Span = Span::millis(300);
@@ -18,6 +19,13 @@
 /// their number: chance then needs no caution of its own.
 const LARGE: f64 = 100.0;
 
+/// An execution is late for its zone after so many of the longest typical times; so many late ones, while nothing came from
+/// there since, are no chance.
+const LATE: f64 = 2.5;
+const LATE_ONES: usize = 2;
+/// A zone that was left is tried again after this.
+const TRIAL: Span = Span::millis(1500);
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fleet {
     drivers: f64,
@@ -74,3 +82,50 @@
         carried.max(self.part(1.0))
     }
 }
+
+/// What was last heard from each zone, and when it was left: one driver meets a member too rarely to learn of it what it
+/// learns of all its neighbours together.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Zones {
+    heard: Vec<Point>,
+    left: Vec<Point>,
+}
+
+/// What went out before this is late.
+pub fn late_since(now: Point, longest_typical: Span) -> Point {
+    now - longest_typical * LATE
+}
+
+/// Zones are numbered densely, by the settings and the list.
+fn set(times: &mut Vec<Point>, zone: u16, now: Point) {
+    let z = usize::from(zone);
+    times.resize(times.len().max(z + 1), Point(0));
+    times[z] = now;
+}
+
+impl Zones {
+    /// Something was answered from there.
+    pub fn hear(&mut self, zone: u16, now: Point) {
+        set(&mut self.heard, zone, now);
+    }
+
+    /// It is avoided from now on, until something is heard or it is time to try again.
+    pub fn leave(&mut self, zone: u16, now: Point) {
+        set(&mut self.left, zone, now);
+    }
+
+    /// `out` are the times at which executions went out that are still out there.
+    pub fn is_silent(
+        &self,
+        zone: u16,
+        out: &mut dyn Iterator<Item = Point>,
+        now: Point,
+        longest: Span,
+    ) -> bool {
+        let at = |times: &[Point]| times.get(usize::from(zone)).copied().unwrap_or_default();
+        let (heard, left) = (at(&self.heard), at(&self.left));
+        let late = late_since(now, longest);
+        let owing = out.filter(|sent| *sent > heard && *sent < late);
+        (left > heard && now < left + TRIAL) || owing.count() >= LATE_ONES
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -41,6 +41,13 @@
     pub freshness: Freshness,
 }
 
+impl WorkloadSettings {
+    /// Whether a client may repeat such a statement under another id, though it may have run.
+    pub fn repeats_harmlessly(&self) -> bool {
+        self.repeat == Repeat::Idempotent || self.repeat == Repeat::Deduplicated && self.scope == Scope::All
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub driver_count: u32,
--- a/src/state.rs
+++ b/src/state.rs
@@ -253,6 +253,14 @@
         }
     };
 }
+impl Members {
+    /// As much as may have been sent to each just now, and nothing that is out by anybody else.
+    pub fn reckon_anew(&mut self, now: Point, work: Span) {
+        self.debt_at.fill(now);
+        self.debt.fill(work);
+        self.elsewhere.fill(0);
+    }
+}
 columns! { Members,
     id: u32 = 0;
     group: usize = 0;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,7 +1,11 @@
 //! One driver's part in what many do that can't see each other.
 
-use asterlatch::fleet::Fleet;
-use asterlatch::time::Span;
+mod common;
+use asterlatch::fleet::{Fleet, Zones};
+use asterlatch::interface::*;
+use asterlatch::time::{Point, Span};
+use common::*;
+use Ending::*;
 
 #[test]
 fn parts_of_all_drivers_together_are_the_whole() {
@@ -70,3 +74,94 @@
         assert!(worst < rule * 0.75, "{drivers} drivers: {worst} of {rule}");
     }
 }
+
+#[test]
+fn a_zone_is_silent_by_what_all_its_members_owe() {
+    // (heard at, left at, sent at and still out, in ms; silent at 1000 where the longest typical time is 100)
+    let table: [(u64, u64, &[u64], bool); 10] = [
+        (0, 0, &[], false),
+        (0, 0, &[700], false),
+        (0, 0, &[700, 749], true),
+        (0, 0, &[700, 751], false), // one isn't late yet
+        (720, 0, &[700, 749], false),
+        (720, 0, &[700, 730, 749], true),
+        (900, 0, &[700, 730, 749], false),
+        (0, 900, &[], true),
+        (950, 900, &[], false),
+        (0, 1, &[], true),
+    ];
+    for (heard, left, sent, silent) in table {
+        let mut zones = Zones::default();
+        zones.hear(3, at(heard));
+        zones.leave(3, if left > 0 { at(left) } else { Point(0) });
+        let out = || sent.iter().map(|t| at(*t));
+        assert_eq!(
+            zones.is_silent(3, &mut out(), at(1000), ms(100)),
+            silent,
+            "{heard} {left} {sent:?}"
+        );
+        // In time it is tried again, whatever is heard.
+        assert!(
+            !zones.is_silent(3, &mut [].into_iter(), at(2500), ms(100)),
+            "{heard} {left}"
+        );
+    }
+}
+
+/// A zone behind a cut: each member there is met once, so none is known to be silent, yet all are.
+#[test]
+fn reads_leave_a_zone_from_which_nothing_comes() {
+    // (another zone has a replica, views are dense, the workload; whether the reads out there move)
+    let table = [
+        (true, false, READ, true),
+        (false, false, READ, false),
+        (true, true, READ, false),
+        (true, false, FRESH, false),
+    ];
+    for (other, dense, workload, moves) in table {
+        let mut b = bench(&settings(), 0);
+        let entry = |id: u32, zone: u16| MemberEntry { zone, ..member(id) };
+        let away = u16::from(!other);
+        let all = [
+            entry(1, u16::from(workload == FRESH)),
+            entry(2, 1),
+            entry(3, away),
+            entry(4, 1),
+        ];
+        b.driver.members_told(at(0), &all, true);
+        b.see(0, 1, 0, true);
+        if dense {
+            for now in 0..40 {
+                b.run_through(now, READ, Completed);
+            }
+        }
+        let mut out = Vec::new();
+        for now in 50..56 {
+            let (id, r) = b.take(now, workload);
+            out.extend(r.executions.iter().map(|e| (id, e.member)));
+        }
+        // What another zone holds is answered.
+        let (near, far): (Vec<_>, Vec<_>) =
+            out.into_iter().partition(|(_, m)| all[*m as usize - 1].zone == 0);
+        for (id, m) in near {
+            b.end(100, id, 0, m, Completed);
+        }
+        assert!(far.len() >= 2 || dense, "{far:?}");
+        assert!(b.run_until(101, 250).cancellations.is_empty(), "too early to say");
+        let r = b.run_until(251, 330);
+        let called: Vec<u32> = r.cancellations.iter().map(|c| c.stmt).collect();
+        assert_eq!(!called.is_empty(), moves, "{other} {dense} {workload}");
+        for (id, m) in far.into_iter().filter(|(id, _)| called.contains(id)) {
+            let r = b.end(331, id, 0, m, Cancelled);
+            assert_eq!(sent_to(&r), [3], "the other zone's replica");
+            b.end(340, id, 1, 3, Completed);
+        }
+        if moves {
+            // Nobody is out there any more: the zone is left for a while, and then tried again by turns.
+            let mut went =
+                |from: u64| -> Vec<u32> { (from..from + 6).flat_map(|now| b.goes(now, READ)).collect() };
+            let away = [went(341), went(2000)].map(|all| all.iter().any(|m| [2, 4].contains(m)));
+            assert_eq!(away, [false, true]);
+        }
+    }
+}
