--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -752,6 +752,30 @@
     );
 }
 
+/// SIGHUP to either process in the middle of an upgrade reads its files again, and changes nothing of the upgrade.
+#[test]
+fn a_reload_in_the_middle_changes_nothing_of_the_upgrade() {
+    let member = member(Manner::Answers);
+    let mut stage = Stage::new(
+        "reload",
+        &member,
+        &TIMES.replace("probation = 200ms", "probation = 1s"),
+    );
+    let mut kept = stage.operated.program.client();
+    let (pid, asking) = stage.begin();
+    stage.pid = Some(pid);
+    for process in [stage.operated.program.child.id(), pid] {
+        stage.signal(process, "HUP");
+        stage.operated.told("configuration: read again");
+        assert_eq!(stage.ask("post", process), "T D C Z");
+    }
+    send(&mut kept, "post", 7);
+    assert_eq!(answer(&mut kept).0, "T D C Z");
+    assert!(asking.join().expect("ends").status.success());
+    stage.operated.told("upgrade: the former process has left");
+    assert!(ran(&member).values().all(|n| *n == 1));
+}
+
 /// What both processes together would need is known before anything is begun.
 #[test]
 fn an_upgrade_without_room_for_two_is_refused_with_its_figures() {
