--- a/crates/driver/src/program/operators.rs
+++ b/crates/driver/src/program/operators.rs
@@ -98,6 +98,8 @@
         let taking = new::Times {
             // The former process has its own patience, which ends first.
             patience: upgrade("ready") + upgrade("ready"),
+            // As long as the former one lets this one be silent: it tells ten times meanwhile that it lives.
+            silence: upgrade("silence"),
             beat: upgrade("beat"),
             probation: upgrade("probation"),
         };
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -87,7 +87,7 @@
     let inherited = takeover.as_mut().and_then(Takeover::listener);
     let bound = inherited.map_or_else(|| TcpListener::bind(config.listen), Ok);
     let listener = bound.map_err(|e| format!("{}: {e}", config.listen))?;
-    // Everything is made by now that could fail; accepting begins when the former process has stopped.
+    // Everything is made by now that could fail; what is served begins with whom the former process sends.
     if let Some(takeover) = &mut takeover {
         takeover.commit()?;
         takeover.follow(to_takeover.clone())?;
@@ -101,7 +101,8 @@
     if let Some(control) = control.take_if(|_| takeover.is_none()) {
         control()?;
     }
-    let listening = listener::listen::<_, Input>(listener, queue, (clock, clients), session);
+    let listening =
+        listener::listen::<_, Input>(listener, takeover.is_some(), queue, (clock, clients), session);
     let listening = listening.map_err(|e| format!("{}: {e}", config.listen))?;
     owner.attach(listening);
     let mut phases = Phases::default();
--- /dev/null
+++ b/crates/driver/src/program/upgrade/handover.rs
@@ -0,0 +1,64 @@
+//! What goes from one process to the next: what was learned, and by which clock.
+
+use crate::program::log::Log;
+use crate::routing::owner::Owner;
+use crate::routing::tables::Members;
+use crate::transport::clock::Clock;
+use asterlatch::choice::Driver;
+use asterlatch::time::{Point, Span};
+use asterlatch_takeover::wire::machine_us;
+use serde::{Deserialize, Serialize};
+
+/// Of what is written out, beside the version of the takeover itself.
+const FORM: u32 = 1;
+
+/// What goes from one process to the next. Points in time count from the former one's clock, which goes along with the
+/// machine's: no reading of a wall clock is believed.
+#[derive(Serialize, Deserialize)]
+struct Handover {
+    form: u32,
+    now: Point,
+    machine: Span,
+    /// The deployment's settings by which ids of workloads mean something.
+    settings: u64,
+    module: Vec<u8>,
+    members: Vec<u8>,
+}
+
+pub fn written(owner: &Owner<Log>, now: Point, settings: u64) -> Result<Vec<u8>, postcard::Error> {
+    let (module, members) = owner.learned();
+    let handover = Handover {
+        form: FORM,
+        now,
+        machine: Span(machine_us()),
+        settings,
+        module: postcard::to_stdvec(module)?,
+        members: postcard::to_stdvec(members)?,
+    };
+    postcard::to_stdvec(&handover)
+}
+
+/// What a new process goes on from.
+pub struct Resumed {
+    pub clock: Clock,
+    pub learned: (Driver, Members),
+}
+
+pub fn read(bytes: &[u8], settings: u64) -> Result<Resumed, String> {
+    let handover: Handover =
+        postcard::from_bytes(bytes).map_err(|e| format!("the state can't be read: {e}"))?;
+    if handover.form != FORM {
+        return Err(format!("the state has form {}, not {FORM}", handover.form));
+    }
+    if handover.settings != settings {
+        return Err("the deployment's settings have changed: only a new start takes those over".to_owned());
+    }
+    let module = postcard::from_bytes(&handover.module);
+    let members = postcard::from_bytes(&handover.members);
+    let module = module.map_err(|e| format!("what was learned can't be read: {e}"))?;
+    let members = members.map_err(|e| format!("the members can't be read: {e}"))?;
+    Ok(Resumed {
+        clock: Clock::resume(handover.now, handover.machine, Span(machine_us())),
+        learned: (module, members),
+    })
+}
--- /dev/null
+++ b/crates/driver/src/program/upgrade/mod.rs
@@ -0,0 +1,35 @@
+//! Carries out what the two sides of a takeover decide. All waiting is done on threads beside the owner's.
+
+pub mod control;
+mod handover;
+pub mod new;
+pub mod old;
+
+use super::log::Log;
+use crate::routing::owner::Owner;
+use asterlatch::time::Point;
+use asterlatch_takeover::joint::{Joint, Word};
+use asterlatch_takeover::message::Message;
+pub use control::{control, request};
+pub use new::{inherited, Takeover};
+pub use old::Upgrades;
+
+/// Names the descriptor of the socket to the former process, where there is one.
+pub const VARIABLE: &str = "ASTERLATCH_TAKEOVER";
+
+/// Takes over what the other process tells that binds both; what it is to be answered.
+fn bind(owner: &mut Owner<Log>, now: Point, joint: &mut Joint, words: &[Word]) -> Option<Message> {
+    words.iter().for_each(|word| owner.bind(now, word));
+    let answer = joint.heard(words);
+    owner.figures.open_from_beside = joint.beside();
+    answer.map(|word| Message::Joint(vec![word]))
+}
+
+/// What the other process is to know that binds both: drains that were heard here, and what is out.
+fn words(owner: &mut Owner<Log>, joint: &mut Joint) -> Option<Message> {
+    let drains = std::mem::take(&mut owner.drains);
+    let drains = drains.iter().filter_map(|(m, since)| joint.drains(m, *since));
+    let mut words: Vec<Word> = drains.collect();
+    words.extend(joint.open(owner.out()));
+    (!words.is_empty()).then_some(Message::Joint(words))
+}
--- /dev/null
+++ b/crates/driver/src/program/upgrade/new.rs
@@ -0,0 +1,284 @@
+//! The side of the new process: takes state, listener and clients over, and writes down what it does on probation.
+
+use super::handover::{read, Resumed};
+use super::{bind, words, VARIABLE};
+use crate::program::config::Config;
+use crate::program::log::{log, Log};
+use crate::routing::owner::{Moved, Owner};
+use crate::routing::queue::{Input, Notice};
+use crate::transport::witness::Witness;
+use asterlatch::time::Point;
+use asterlatch_takeover::joint::Joint;
+use asterlatch_takeover::ledger::Verdicts;
+use asterlatch_takeover::message::Message;
+use asterlatch_takeover::new::{self, New};
+use asterlatch_takeover::wire::{machine_us, send, Came, Reader};
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::{FromRawFd, OwnedFd};
+use std::os::unix::net::UnixStream;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+/// What comes from the former process while this one serves.
+enum Heard {
+    Word(new::Input),
+    Moved(Moved),
+    Member(u32, TcpStream),
+}
+
+/// The side of the new process.
+pub struct Takeover {
+    machine: New,
+    socket: UnixStream,
+    reader: Option<Reader>,
+    heard: Option<Receiver<Heard>>,
+    /// The former process is gone.
+    ended: bool,
+    listener: Option<TcpListener>,
+    /// To write the ledger into, and to give it up with.
+    ledger: Option<(UnixStream, OwnedFd)>,
+    witness: Option<Witness>,
+    joint: Joint,
+    started: Point,
+}
+
+/// Takes the socket to the former process, where this one was started to take over.
+pub fn inherited(times: new::Times) -> Result<Option<Takeover>, String> {
+    let Some(number) = std::env::var_os(VARIABLE) else {
+        return Ok(None);
+    };
+    // No process that this one starts is to think it was named this.
+    std::env::remove_var(VARIABLE);
+    let number: Option<i32> = number.to_str().and_then(|n| n.parse().ok()).filter(|n| *n > 2);
+    let number = number.ok_or_else(|| format!("{VARIABLE} names no descriptor"))?;
+    // SAFETY: the former process opened it for this one, and nothing here has used that number: it is the first thing
+    // that a process does.
+    let socket = unsafe { UnixStream::from_raw_fd(number) };
+    let prepared = rustix::io::fcntl_setfd(&socket, rustix::io::FdFlags::CLOEXEC);
+    prepared.map_err(|e| format!("{VARIABLE}: {e}"))?;
+    let reader = socket.try_clone().map_err(|e| format!("{VARIABLE}: {e}"))?;
+    Ok(Some(Takeover {
+        machine: New::begin(times),
+        socket,
+        reader: Some(Reader::new(reader)),
+        heard: None,
+        ended: false,
+        listener: None,
+        ledger: None,
+        witness: None,
+        joint: Joint::default(),
+        started: Point(machine_us()),
+    }))
+}
+
+impl Takeover {
+    /// Until it serves the machine's clock will do.
+    fn machine_now(&self) -> Point {
+        Point(machine_us())
+    }
+
+    fn say(&self, message: &Message) {
+        // A former process that is gone is known by its end.
+        let _ = send(&self.socket, message, &[]);
+    }
+
+    /// Says hello, and waits for state and listener.
+    pub fn load(&mut self, config: &Config) -> Result<Resumed, String> {
+        let now = self.machine_now();
+        let mut effects = self.machine.take(now, new::Input::Start);
+        loop {
+            for effect in std::mem::take(&mut effects) {
+                match effect {
+                    new::Effect::Say(message) => self.say(&message),
+                    new::Effect::Load(bytes) => match (read(&bytes, config.settings_text), &self.listener) {
+                        (Ok(resumed), Some(_)) => return Ok(resumed),
+                        (Ok(_), None) => effects.extend(self.loaded(Err("no listener came".to_owned()))),
+                        (Err(why), _) => effects.extend(self.loaded(Err(why))),
+                    },
+                    new::Effect::End(why) => return Err(why),
+                    new::Effect::Serve | new::Effect::Accept | new::Effect::Tell(_) => {}
+                }
+            }
+            if effects.is_empty() {
+                effects = self.wait();
+            }
+        }
+    }
+
+    fn loaded(&mut self, result: Result<(), String>) -> Vec<new::Effect> {
+        let now = self.machine_now();
+        self.machine.take(now, new::Input::Loaded(result))
+    }
+
+    pub fn listener(&mut self) -> Option<TcpListener> {
+        self.listener.take()
+    }
+
+    /// Writes down what is done here, for as long as the former process may have to go on with it.
+    pub fn witness(&mut self) -> Result<Option<Witness>, String> {
+        let made = self.ledger.take().map(|(socket, end)| Witness::new(socket, end));
+        self.witness = made.transpose().map_err(|e| format!("ledger: {e}"))?;
+        Ok(self.witness.clone())
+    }
+
+    /// The next word of the former process, its end, or its silence.
+    fn wait(&mut self) -> Vec<new::Effect> {
+        let wait = self.machine.next_at() - self.machine_now();
+        let timeout = Duration::from_micros(wait.0.clamp(1, 60_000_000));
+        let _ = self.socket.set_read_timeout(Some(timeout));
+        let Some(reader) = &mut self.reader else {
+            return Vec::new();
+        };
+        let input = match reader.read() {
+            Came::Message(message, descriptors) => {
+                let mut beside = descriptors.into_iter();
+                if let (Some(listener), Some(ledger), Some(given_up)) =
+                    (beside.next(), beside.next(), beside.next())
+                {
+                    self.listener = Some(listener.into());
+                    self.ledger = Some((ledger.into(), given_up));
+                }
+                new::Input::Heard(message)
+            }
+            Came::Garbled(_) => new::Input::Garbled,
+            // A silence ends the reading as well; the rules tell them apart by the time.
+            Came::Ended if self.machine.next_at() <= self.machine_now() => new::Input::Time,
+            Came::Ended => new::Input::Ended,
+        };
+        let now = self.machine_now();
+        self.machine.take(now, input)
+    }
+
+    /// Says that this process could serve, and waits until it is to.
+    pub fn commit(&mut self) -> Result<(), String> {
+        let mut effects = self.loaded(Ok(()));
+        loop {
+            let mut serves = false;
+            for effect in std::mem::take(&mut effects) {
+                match effect {
+                    new::Effect::Say(message) => self.say(&message),
+                    new::Effect::Serve => serves = true,
+                    new::Effect::End(why) => return Err(why),
+                    new::Effect::Load(_) | new::Effect::Accept | new::Effect::Tell(_) => {}
+                }
+            }
+            if serves {
+                return Ok(());
+            }
+            effects = self.wait();
+        }
+    }
+
+    /// From now on the former process is listened to on a thread of its own.
+    pub fn follow(&mut self, queue: Sender<Input>) -> Result<(), String> {
+        let _ = self.socket.set_read_timeout(None);
+        let (tell, heard) = channel();
+        self.heard = Some(heard);
+        let Some(mut reader) = self.reader.take() else {
+            return Ok(());
+        };
+        let socket = self.socket.try_clone().map_err(|e| format!("takeover: {e}"))?;
+        let hear = move || loop {
+            let heard = match reader.read() {
+                Came::Message(Message::Client(client), descriptors) => {
+                    let Some(stream) = descriptors.into_iter().next() else {
+                        // The kernel drops what a process has no descriptor for.
+                        let _ = send(&socket, &Message::Missing(client.handed), &[]);
+                        continue;
+                    };
+                    let (handed, verdicts) = (Some(client.handed), Verdicts::default());
+                    Heard::Moved(Moved::from(client, handed, stream.into(), verdicts))
+                }
+                Came::Message(Message::Member(member), descriptors) => {
+                    let Some(stream) = descriptors.into_iter().next() else {
+                        continue;
+                    };
+                    Heard::Member(member, TcpStream::from(stream))
+                }
+                Came::Message(message, _) => Heard::Word(new::Input::Heard(message)),
+                Came::Garbled(_) => Heard::Word(new::Input::Garbled),
+                Came::Ended => Heard::Word(new::Input::Ended),
+            };
+            let last = matches!(heard, Heard::Word(new::Input::Garbled | new::Input::Ended));
+            if tell.send(heard).is_err() || queue.send(Input::Notice(Notice::Done)).is_err() || last {
+                return;
+            }
+        };
+        let thread = std::thread::Builder::new().name("takeover".to_owned());
+        thread.spawn(hear).map(drop).map_err(|e| format!("takeover: {e}"))
+    }
+
+    pub fn steer(&mut self, owner: &mut Owner<Log>, now: Point) {
+        let mut effects = Vec::new();
+        let machine_now = self.machine_now();
+        while let Some(Ok(heard)) = self.heard.as_ref().map(Receiver::try_recv) {
+            match heard {
+                Heard::Moved(moved) => owner.adopt(now, moved),
+                Heard::Member(member, stream) => owner.adopt_connection(now, member, stream),
+                Heard::Word(new::Input::Heard(Message::Joint(words))) => {
+                    let answer = bind(owner, now, &mut self.joint, &words);
+                    answer.iter().for_each(|m| self.say(m));
+                }
+                Heard::Word(input) => {
+                    if matches!(input, new::Input::Garbled | new::Input::Ended) {
+                        self.ended = true;
+                        // Nothing of the former one is out any more.
+                        owner.share(now, false, false);
+                        owner.figures.open_from_beside = 0;
+                        log!(owner.observer, now, "upgrade", "the former process has left");
+                    }
+                    effects.extend(self.machine.take(machine_now, input));
+                }
+            }
+        }
+        if self.machine.next_at() <= machine_now {
+            effects.extend(self.machine.take(machine_now, new::Input::Time));
+        }
+        let given_up = self.witness.take_if(|w| !w.is_on());
+        if given_up.is_some() {
+            log!(
+                owner.observer,
+                now,
+                "upgrade",
+                "the ledger is given up: the former process doesn't read it"
+            );
+        }
+        for effect in effects {
+            match effect {
+                new::Effect::Say(message) => self.say(&message),
+                new::Effect::Accept => owner.pause(false),
+                new::Effect::Tell(text) => {
+                    let took = (machine_now - self.started).0 / 1000;
+                    log!(
+                        owner.observer,
+                        now,
+                        "upgrade",
+                        "{text}, {took} ms after this process began"
+                    );
+                }
+                _ => {}
+            }
+        }
+        if !self.ended {
+            let told = words(owner, &mut self.joint);
+            told.iter().for_each(|m| self.say(m));
+        }
+        // Whoever is proven, or alone, answers for its clients itself; not before the former one was told so.
+        if self.machine.phase == new::Phase::Owner {
+            self.witness.take().inspect(Witness::stop);
+        }
+    }
+
+    /// In the service's own time.
+    pub fn next_at(&self, now: Point) -> Point {
+        match self.machine.next_at() {
+            Point(u64::MAX) => Point(u64::MAX),
+            at => now + (at - self.machine_now()),
+        }
+    }
+
+    /// The service is this process's alone, and no client is to come from the former one any more.
+    pub fn is_over(&self) -> bool {
+        self.ended && self.machine.phase == new::Phase::Owner
+    }
+}
--- /dev/null
+++ b/crates/driver/src/program/upgrade/old.rs
@@ -0,0 +1,432 @@
+//! The side that serves: starts and kills the new process, sends state, listener, clients and connections.
+
+use super::control::Ask;
+use super::handover::written;
+use super::{bind, words, VARIABLE};
+use crate::program::kept::Kept;
+use crate::program::log::{log, Log};
+use crate::routing::owner::Owner;
+use crate::routing::queue::{Input, Notice};
+use asterlatch::time::Point;
+use asterlatch_takeover::fit;
+use asterlatch_takeover::joint::Joint;
+use asterlatch_takeover::message::{Client, Message};
+use asterlatch_takeover::old::{self, Old, Told};
+use asterlatch_takeover::wire::{send, Came, Reader};
+use rustix::event::EventfdFlags;
+use rustix::process::{pidfd_open, pidfd_send_signal, Pid, PidfdFlags, Signal};
+use std::ffi::OsString;
+use std::io::{self, Write};
+use std::os::fd::{AsFd, AsRawFd, OwnedFd};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver, SendError, Sender};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+/// The side that serves.
+pub struct Upgrades {
+    machine: Old,
+    queue: Sender<Input>,
+    tell: Sender<old::Input>,
+    heard: Receiver<old::Input>,
+    asks: Receiver<Ask>,
+    /// Says what goes to the new process, and its end, while there is one.
+    link: Option<Link>,
+    /// Connections of clients that are the new process's on probation, and what it does with them.
+    kept: Kept,
+    /// By which the new process tells that the ledger isn't whole.
+    given_up: Option<OwnedFd>,
+    handed: u64,
+    /// What the new process was told that binds both.
+    joint: Joint,
+    /// Messages with a client or a member's connection that have not left yet.
+    pending: Arc<AtomicUsize>,
+    child: Option<OwnedFd>,
+    pid: u32,
+    binary: PathBuf,
+    reply: Option<UnixStream>,
+    settings: u64,
+    /// The service is another process's: this one is to leave.
+    pub is_over: bool,
+}
+
+impl Upgrades {
+    pub fn new(settings: u64, queue: Sender<Input>, asks: Receiver<Ask>) -> Upgrades {
+        let (tell, heard) = channel();
+        Upgrades {
+            machine: Old::new(old::Times::default()),
+            queue,
+            tell,
+            heard,
+            asks,
+            link: None,
+            kept: Kept::default(),
+            given_up: None,
+            handed: 0,
+            joint: Joint::default(),
+            pending: Arc::default(),
+            child: None,
+            pid: 0,
+            binary: PathBuf::new(),
+            reply: None,
+            settings,
+            is_over: false,
+        }
+    }
+
+    /// An upgrade to this very program, as it lies on disk now.
+    pub fn asked(&mut self, owner: &mut Owner<Log>, now: Point) {
+        let binary = std::env::args_os().next().map(PathBuf::from);
+        self.ask(owner, now, binary.unwrap_or_default(), None);
+    }
+
+    fn ask(&mut self, owner: &mut Owner<Log>, now: Point, binary: PathBuf, reply: Option<UnixStream>) {
+        if let Err(why) = fit::check(&Upgrades::measure(owner)) {
+            log!(owner.observer, now, "upgrade", "not begun: {why}");
+            reply.map(|mut r| writeln!(r, "failed: {why}"));
+            return;
+        }
+        let effects = self.machine.take(now, old::Input::Ask);
+        if effects.contains(&old::Effect::Tell(Told::Busy)) {
+            // Whoever asked before is still to be told of that one.
+            log!(
+                owner.observer,
+                now,
+                "upgrade",
+                "not begun: another one is under way"
+            );
+            reply.map(|mut r| writeln!(r, "failed: another upgrade is under way"));
+            return;
+        }
+        (self.binary, self.reply) = (binary, reply);
+        self.carry_out(owner, now, effects);
+    }
+
+    /// What both processes would have and need. What the kernel doesn't tell is taken for nothing.
+    fn measure(owner: &Owner<Log>) -> fit::Room {
+        let held = std::fs::read_dir("/proc/self/fd").map_or(0, Iterator::count);
+        let pages = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+        let pages: u64 = pages.split(' ').nth(1).and_then(|p| p.parse().ok()).unwrap_or(0);
+        let (clients, messages) = owner.held();
+        let (descriptors, memory) = owner.most();
+        fit::Room {
+            descriptors,
+            held,
+            clients,
+            memory: memory as u64,
+            resident: pages * rustix::param::page_size() as u64,
+            messages: messages as u64,
+        }
+    }
+
+    /// Has the other process know what binds both.
+    fn tell_joint(&mut self, owner: &mut Owner<Log>) {
+        // Else they are for the side that took over to tell.
+        if self.machine.is_shared() {
+            let told = words(owner, &mut self.joint);
+            told.into_iter().for_each(|m| self.say(m, Vec::new()));
+        }
+    }
+
+    /// The process is told to leave.
+    pub fn leave(&mut self, owner: &mut Owner<Log>, now: Point) {
+        self.take(owner, now, old::Input::Leave);
+    }
+
+    pub fn steer(&mut self, owner: &mut Owner<Log>, now: Point, may_begin: bool) {
+        while let Ok(Ask { binary, reply }) = self.asks.try_recv() {
+            if may_begin {
+                self.ask(owner, now, binary, Some(reply));
+            } else {
+                let _ = writeln!(&reply, "failed: this process is on probation, or leaves");
+            }
+        }
+        while let Ok(input) = self.heard.try_recv() {
+            if let old::Input::Heard(Message::Joint(words)) = &input {
+                let answer = bind(owner, now, &mut self.joint, words);
+                answer.into_iter().for_each(|m| self.say(m, Vec::new()));
+            }
+            if let old::Input::Heard(Message::Missing(handed)) = &input {
+                self.kept.missing(*handed);
+                owner.figures.clients_cut += 1;
+            }
+            self.take(owner, now, input);
+        }
+        if self.machine.next_at() <= now {
+            self.take(owner, now, old::Input::Time);
+        }
+        self.move_clients(owner, now);
+        self.tell_joint(owner);
+    }
+
+    pub fn next_at(&self) -> Point {
+        self.machine.next_at()
+    }
+
+    /// From the next phase on.
+    pub fn bound(&mut self, times: old::Times) {
+        self.machine.times = times;
+    }
+
+    fn take(&mut self, owner: &mut Owner<Log>, now: Point, input: old::Input) {
+        let effects = self.machine.take(now, input);
+        self.carry_out(owner, now, effects);
+    }
+
+    fn carry_out(&mut self, owner: &mut Owner<Log>, now: Point, effects: Vec<old::Effect>) {
+        for effect in effects {
+            match effect {
+                old::Effect::Start => self.start(),
+                old::Effect::SendState => match written(owner, now, self.settings) {
+                    Ok(bytes) => match self.beside(owner) {
+                        Ok(beside) => self.say(Message::State(bytes), beside),
+                        // It isn't told anything, and is known by that.
+                        Err(e) => log!(owner.observer, now, "upgrade", "no descriptors to send: {e}"),
+                    },
+                    Err(e) => log!(
+                        owner.observer,
+                        now,
+                        "upgrade",
+                        "the state can't be written out: {e}"
+                    ),
+                },
+                old::Effect::Say(message) => self.say(message, Vec::new()),
+                old::Effect::ServeBeside => {
+                    self.joint = Joint::default();
+                    owner.share(now, true, true);
+                }
+                old::Effect::StopAccepting => owner.pause(true),
+                old::Effect::ServeAlone => {
+                    owner.share(now, false, false);
+                    owner.figures.open_from_beside = 0;
+                    owner.pause(false);
+                }
+                old::Effect::SendAway => owner.hand_clients_over(),
+                old::Effect::TakeBack => self.take_back(owner, now),
+                old::Effect::Kill => self.kill(),
+                old::Effect::Leave => {
+                    self.kept.clear();
+                    self.is_over = true;
+                }
+                old::Effect::Tell(told) => self.told(owner, now, &told),
+            }
+        }
+    }
+
+    fn told(&mut self, owner: &mut Owner<Log>, now: Point, told: &Told) {
+        let text = match told {
+            Told::Asked => format!("begun, to {} as process {}", self.binary.display(), self.pid),
+            Told::Busy => "not begun: another one is under way, or this process leaves".to_owned(),
+            Told::Committed => "the new process could serve and is told to".to_owned(),
+            Told::Done => "done, the service is the new process's".to_owned(),
+            Told::Failed(why) => format!("failed, this process serves on: {why}"),
+        };
+        log!(owner.observer, now, "upgrade", "{text}");
+        if let Some(reply) = &mut self.reply {
+            // Whoever asked may have gone.
+            let _ = writeln!(reply, "{text}");
+        }
+        if matches!(told, Told::Busy | Told::Done | Told::Failed(_)) {
+            self.reply = None;
+        }
+    }
+
+    fn say(&self, message: Message, beside: Vec<OwnedFd>) {
+        if let Some(link) = &self.link {
+            let _ = link.send((message, beside));
+        }
+    }
+
+    /// Listener, ledger, and what the ledger is given up with.
+    fn beside(&mut self, owner: &Owner<Log>) -> io::Result<Vec<OwnedFd>> {
+        let link = self.link.as_mut().ok_or(io::ErrorKind::NotConnected)?;
+        let listener = owner.listener().ok_or(io::ErrorKind::NotConnected)?;
+        let (ours, theirs) = UnixStream::pair()?;
+        let flags = EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK;
+        let given_up = rustix::event::eventfd(0, flags)?;
+        let copy = given_up.try_clone()?;
+        // As much as its clients may fill here, they may fill there.
+        self.kept = Kept::new(owner.clients_memory());
+        link.follow(self.kept.follow(ours)?);
+        self.given_up = Some(given_up);
+        Ok(vec![listener.into(), theirs.into(), copy])
+    }
+
+    /// The new process is dead; its clients go on here.
+    fn take_back(&mut self, owner: &mut Owner<Log>, now: Point) {
+        let Some(given_up) = self.given_up.take() else {
+            return;
+        };
+        let back = self.kept.take_back(&given_up);
+        let (count, cut) = (back.clients.len(), back.cut);
+        owner.figures.clients_taken_back += count as u64;
+        owner.figures.clients_cut += cut;
+        for moved in back.clients {
+            owner.adopt(now, moved);
+        }
+        match back.fault {
+            Some(why) => log!(
+                owner.observer,
+                now,
+                "upgrade",
+                "{cut} clients cut off, for the ledger isn't whole: {why}"
+            ),
+            None => log!(
+                owner.observer,
+                now,
+                "upgrade",
+                "{count} clients taken back, {cut} cut off"
+            ),
+        }
+    }
+
+    /// Clients that are on their way.
+    pub fn pending(&self) -> usize {
+        self.pending.load(Ordering::Acquire)
+    }
+
+    /// Sends those on that are to go on in the new process; where there is none any more they stay.
+    fn move_clients(&mut self, owner: &mut Owner<Log>, now: Point) {
+        let takes = matches!(self.machine.phase, old::Phase::Standby | old::Phase::Done);
+        // Where nobody takes them they end: another is opened as one is needed.
+        for (member, stream) in std::mem::take(&mut owner.moved_connections) {
+            if takes {
+                self.pending.fetch_add(1, Ordering::AcqRel);
+                self.say(Message::Member(member), vec![stream.into()]);
+            }
+        }
+        for moved in std::mem::take(&mut owner.moved) {
+            if !takes {
+                owner.adopt(now, moved);
+                continue;
+            }
+            self.handed += 1;
+            let client = Client {
+                handed: self.handed,
+                opened: moved.standing.opened,
+                has_asked: moved.has_asked,
+                skip: moved.standing.skip as u64,
+                input: moved.standing.input,
+            };
+            self.kept.hand_over(client.clone(), &moved.stream);
+            self.pending.fetch_add(1, Ordering::AcqRel);
+            self.say(Message::Client(client), vec![moved.stream.into()]);
+        }
+    }
+
+    fn kill(&self) {
+        if let Some(child) = &self.child {
+            // One that is gone already needs no signal.
+            let _ = pidfd_send_signal(child, Signal::KILL);
+        }
+    }
+
+    fn start(&mut self) {
+        let begun = begin(&self.binary, &self.tell, &self.queue, &self.pending);
+        match begun {
+            Ok((pid, child, link)) => (self.pid, self.child, self.link) = (pid, Some(child), Some(link)),
+            Err(e) => {
+                let why = format!("{}: {e}", self.binary.display());
+                let _ = self.tell.send(old::Input::NotStarted(why));
+                let _ = self.queue.send(Input::Notice(Notice::Done));
+            }
+        }
+    }
+}
+
+type Beside = (Message, Vec<OwnedFd>);
+
+/// What goes to the new process, and the thread that reads its ledger.
+struct Link {
+    messages: Sender<Beside>,
+    ledgers: Sender<JoinHandle<()>>,
+}
+
+impl Link {
+    fn send(&self, message: Beside) -> Result<(), SendError<Beside>> {
+        self.messages.send(message)
+    }
+
+    /// The new process's end is told only when all it wrote was read.
+    fn follow(&self, ledger: JoinHandle<()>) {
+        let _ = self.ledgers.send(ledger);
+    }
+}
+
+/// Starts the new process with this one's arguments, and the threads that talk to it.
+fn begin(
+    binary: &Path,
+    tell: &Sender<old::Input>,
+    queue: &Sender<Input>,
+    pending: &Arc<AtomicUsize>,
+) -> io::Result<(u32, OwnedFd, Link)> {
+    let (ours, theirs) = UnixStream::pair()?;
+    // Theirs alone outlives the change of program. Nothing else is started here meanwhile.
+    rustix::io::fcntl_setfd(&theirs, rustix::io::FdFlags::empty())?;
+    let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let mut command = Command::new(binary);
+    command
+        .args(arguments)
+        .env(VARIABLE, theirs.as_raw_fd().to_string());
+    let mut child = command.spawn()?;
+    drop(theirs);
+    let number = child.id();
+    let pid = i32::try_from(number).ok().and_then(Pid::from_raw);
+    let descriptor = pid.map(|pid| pidfd_open(pid, PidfdFlags::empty()));
+    let descriptor = match descriptor {
+        Some(Ok(descriptor)) => descriptor,
+        other => {
+            // It couldn't be killed for certain later.
+            child.kill()?;
+            child.wait()?;
+            return Err(other
+                .and_then(Result::err)
+                .map_or(io::Error::other("no process"), Into::into));
+        }
+    };
+    let (messages, to_say) = channel::<Beside>();
+    let (ledgers, ledger) = channel::<JoinHandle<()>>();
+    let socket = ours.try_clone()?;
+    let (unsent, woken) = (pending.clone(), queue.clone());
+    let say = move || {
+        for (message, descriptors) in to_say {
+            let beside: Vec<_> = descriptors.iter().map(AsFd::as_fd).collect();
+            // One that doesn't hear is known by its end, or by its silence.
+            let _ = send(&socket, &message, &beside);
+            if matches!(message, Message::Client(_) | Message::Member(_)) {
+                unsent.fetch_sub(1, Ordering::AcqRel);
+                let _ = woken.send(Input::Notice(Notice::Done));
+            }
+        }
+    };
+    let (tell, queue) = (tell.clone(), queue.clone());
+    let hear = move || {
+        let mut reader = Reader::new(ours);
+        loop {
+            let input = match reader.read() {
+                Came::Message(message, _) => old::Input::Heard(message),
+                Came::Garbled(_) => old::Input::Garbled,
+                Came::Ended => break,
+            };
+            let garbled = input == old::Input::Garbled;
+            if tell.send(input).is_err() || queue.send(Input::Notice(Notice::Done)).is_err() || garbled {
+                break;
+            }
+        }
+        // A closed socket is no end: only the kernel's word is.
+        let _ = child.wait();
+        ledger.try_iter().for_each(|reads| drop(reads.join()));
+        let _ = tell.send(old::Input::Ended);
+        let _ = queue.send(Input::Notice(Notice::Done));
+    };
+    std::thread::Builder::new()
+        .name("takeover".to_owned())
+        .spawn(say)?;
+    std::thread::Builder::new()
+        .name("takeover".to_owned())
+        .spawn(hear)?;
+    Ok((number, descriptor, Link { messages, ledgers }))
+}
--- a/crates/driver/src/routing/figures.rs
+++ b/crates/driver/src/routing/figures.rs
@@ -46,6 +46,7 @@
     clients_taken_back,
     clients_cut,
     drains_from_beside,
+    open_from_beside,
     taken_back_rejected,
     taken_back_aborted,
     probes_sent,
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner.rs
@@ -405,6 +405,7 @@
                 self.figures.drains_from_beside += 1;
                 self.module.drain_told(now, m, vitals::unix(*since_ms))
             }),
+            Word::Heard => None,
         };
         if let Some(results) = results {
             self.carry_out(now, results);
--- a/crates/driver/src/transport/listener.rs
+++ b/crates/driver/src/transport/listener.rs
@@ -50,8 +50,10 @@
     }
 }
 
+/// Where it begins paused, another process accepts from the same socket.
 pub fn listen<D, M>(
     listener: TcpListener,
+    paused: bool,
     queue: Sender<M>,
     (clock, room): (Clock, Room),
     dialogue: impl Fn(u32) -> D + Send + 'static,
@@ -62,7 +64,10 @@
 {
     let io = CoIo::new(listener).map_err(|_| io::Error::other("listener not registered"))?;
     let io = Arc::new(io);
-    let (closing, paused) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let (closing, paused) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicBool::new(paused)),
+    );
     let listening = Listening {
         io: io.clone(),
         closing: closing.clone(),
--- a/crates/driver/src/transport/witness.rs
+++ b/crates/driver/src/transport/witness.rs
@@ -71,8 +71,11 @@
 /// States in which the peer's end has come, which counts as a byte received: CLOSE_WAIT, LAST_ACK, CLOSING, TIME_WAIT.
 const ENDED: [u8; 4] = [8, 9, 11, 6];
 
-/// How much was read from a socket and written to it in its whole life, whoever did it.
-pub fn counts(stream: &TcpStream) -> io::Result<Counts> {
+/// How often the counts are read until none of them changed meanwhile: each look takes microseconds.
+const LOOKS: usize = 1000;
+
+/// What TCP_INFO says: the state, and bytes acknowledged and received.
+fn info(stream: &TcpStream) -> io::Result<(u8, u64, u64)> {
     let mut info = [0u8; 256];
     let mut length = info.len() as libc::socklen_t;
     // SAFETY: the kernel writes no more than `length` bytes, which `info` has.
@@ -93,14 +96,28 @@
         Some(u64::from_ne_bytes(bytes.try_into().ok()?))
     };
     let (acked, received) = at(ACKED_AT).zip(at(RECEIVED_AT)).ok_or(ErrorKind::Unsupported)?;
-    let unread = rustix::io::ioctl_fionread(stream)?;
-    let mut unsent: libc::c_int = 0;
-    // SAFETY: the kernel writes one int.
-    if unsafe { libc::ioctl(stream.as_fd().as_raw_fd(), libc::TIOCOUTQ, &mut unsent) } != 0 {
-        return Err(io::Error::last_os_error());
+    Ok((info[0], acked, received))
+}
+
+/// How much was read from a socket and written to it in its whole life, whoever did it. Nobody may read or write it
+/// meanwhile; its peer may: an acknowledgement or a byte that comes between two of the kernel's answers would else be
+/// counted twice or not at all, and its client be taken for one with half an answer.
+pub fn counts(stream: &TcpStream) -> io::Result<Counts> {
+    for _ in 0..LOOKS {
+        let before = info(stream)?;
+        let unread = rustix::io::ioctl_fionread(stream)?;
+        let mut unsent: libc::c_int = 0;
+        // SAFETY: the kernel writes one int.
+        if unsafe { libc::ioctl(stream.as_fd().as_raw_fd(), libc::TIOCOUTQ, &mut unsent) } != 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let (state, acked, received) = info(stream)?;
+        if before == (state, acked, received) {
+            return Ok(Counts {
+                read: received.saturating_sub(unread + u64::from(ENDED.contains(&state))),
+                written: acked + u64::try_from(unsent).unwrap_or(0),
+            });
+        }
     }
-    Ok(Counts {
-        read: received.saturating_sub(unread + u64::from(ENDED.contains(&info[0]))),
-        written: acked + u64::try_from(unsent).unwrap_or(0),
-    })
+    Err(ErrorKind::TimedOut.into())
 }
--- a/crates/driver/tests/stand/mod.rs
+++ b/crates/driver/tests/stand/mod.rs
@@ -50,6 +50,10 @@
     command.spawn().expect("starts")
 }
 
+/// The row that a member has for a statement with the word 'large' in it: some of them are more than a kernel keeps for
+/// who doesn't read.
+pub const LARGE: usize = 2 << 20;
+
 /// What a member does with a statement.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Manner {
@@ -104,6 +108,8 @@
         let text = String::from_utf8_lossy(&body).into_owned();
         let value: &[u8] = if text.starts_with("SHOW") {
             b"x0=1,x1=1"
+        } else if text.contains("'large'") {
+            &[b'x'; LARGE]
         } else {
             b"\x00value"
         };
--- a/crates/takeover/src/lib.rs
+++ b/crates/takeover/src/lib.rs
@@ -8,14 +8,14 @@
 //! | Serving | | old |
 //! | Offered: the new process was started | Started: says hello | old |
 //! | Sent: state and listener are on their way | Loaded: says that it is ready | old |
-//! | Committed: accepts no more, says so | | neither, for as long as a message takes |
-//! | Standby: keeps the listener | Probation: accepts | new |
-//! | Fencing: the new one is killed, its end awaited | | neither, until it is gone |
-//! | Done | Owner | new |
+//! | Committed: has it serve whom it is sent | | old |
+//! | Standby: accepts, and hands over | Probation: serves whom it is sent | old |
+//! | Fencing: the new one is killed, its end awaited | | old |
+//! | Done: accepts no more | Owner: accepts | new |
 //!
-//! The old one accepts again only once the new one's end is certain; the new one accepts only once it was told that the
-//! old one accepts no more. The socket tells of a death only after what was sent before it, so a commit that was sent is
-//! heard even if its sender is gone by then.
+//! The new one accepts on probation only where the old one leaves or has fallen silent, and where it is gone. The old one
+//! goes on with the other's clients only once that one's end is certain. The socket tells of a death only after what was
+//! sent before it, so a word that was sent is heard even if its sender is gone by then.
 //!
 //! `fit` says whether both have room, `joint` what binds both while they serve side by side, and `ledger` is what the old one knows of the clients of the new one on probation, and goes on with if that dies.
 
--- a/crates/takeover/src/message.rs
+++ b/crates/takeover/src/message.rs
@@ -6,7 +6,7 @@
 use sha2::{Digest, Sha256};
 
 /// Of the protocol. Another one is refused before anything moves.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
 /// The longest frame: some ten thousand members' state.
 pub const LONGEST: usize = 32 * 1024 * 1024;
 
@@ -20,10 +20,12 @@
     Ready,
     /// New: it could not, and why.
     Unfit(String),
-    /// Old: it accepts no more.
+    /// Old: serve whom you are sent from now on.
     Commit,
-    /// New: it accepts.
+    /// New: it does.
     Taken,
+    /// Old: it leaves, and accepts no more.
+    Yours,
     /// Old: a client between two statements, with its connection beside.
     Client(Client),
     /// Old: an idle connection to the member with this id, beside.
@@ -32,7 +34,7 @@
     Joint(Vec<Word>),
     /// New: the client with this number came without its connection, for want of descriptors.
     Missing(u64),
-    /// New: it still serves.
+    /// Either: it lives.
     Beat,
     /// New: its probation is over.
     Proven,
--- a/crates/takeover/src/new.rs
+++ b/crates/takeover/src/new.rs
@@ -1,4 +1,5 @@
-//! The side of the new process. Accepts nothing before it is told that the old one has stopped.
+//! The side of the new process. On probation it serves whom the old one hands over; it accepts clients itself once it is
+//! proven, or where the old one leaves, is gone or has fallen silent.
 
 use crate::message::{Message, VERSION};
 use crate::{go_through, Rule};
@@ -9,7 +10,7 @@
     Started,
     /// It has state and listener, and could serve.
     Loaded,
-    /// It accepts; the old one waits beside it.
+    /// It serves; the old one accepts for it.
     Probation,
     /// The service is its own.
     Owner,
@@ -17,10 +18,12 @@
     Over,
 }
 
-/// How long the old one may take, how often it is told that this one lives, and how long that goes on.
+/// How long the old one may take, how long it may be silent on probation before this one accepts in its place, how often
+/// it is told that this one lives, and how long that goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Times {
     pub patience: Span,
+    pub silence: Span,
     pub beat: Span,
     pub probation: Span,
 }
@@ -29,6 +32,7 @@
     fn default() -> Times {
         Times {
             patience: Span::millis(20_000),
+            silence: Span::millis(2000),
             beat: Span::millis(1000),
             probation: Span::millis(10_000),
         }
@@ -52,6 +56,9 @@
 pub enum Effect {
     Say(Message),
     Load(Vec<u8>),
+    /// Serve whom the old one hands over.
+    Serve,
+    /// Accept clients.
     Accept,
     /// End this process, which never served.
     End(String),
@@ -63,18 +70,26 @@
     pub phase: Phase,
     times: Times,
     until: Point,
+    /// When the next sign of life is due here, the last of all, and the next of the old one.
+    beats_at: Point,
     proven_at: Point,
+    silent_at: Point,
+    accepts: bool,
     now: Point,
     input: Option<Input>,
 }
 
-const RULES: [Rule<New, Effect>; 8] = [
+const RULES: [Rule<New, Effect>; 12] = [
     New::greet,
     New::load,
     New::ready,
-    New::accept,
+    New::serve,
+    New::hear,
+    New::replace,
     New::outlive,
+    New::stand_in,
     New::prove,
+    New::say_beat,
     New::give_up,
     New::pass_over,
 ];
@@ -85,14 +100,25 @@
             phase: Phase::Started,
             times,
             until: Point(u64::MAX),
+            beats_at: Point(u64::MAX),
             proven_at: Point(u64::MAX),
+            silent_at: Point(u64::MAX),
+            accepts: false,
             now: Point(0),
             input: None,
         }
     }
 
     pub fn next_at(&self) -> Point {
-        self.until
+        if self.phase != Phase::Probation {
+            return self.until;
+        }
+        let silent_at = if self.accepts {
+            Point(u64::MAX)
+        } else {
+            self.silent_at
+        };
+        self.beats_at.min(self.proven_at).min(silent_at)
     }
 
     pub fn take(&mut self, now: Point, input: Input) -> Vec<Effect> {
@@ -102,11 +128,15 @@
 
     /// Counts all times from now on: what a checker of the protocol tells states apart by must not grow with the clock.
     pub fn rebase(&mut self) {
-        if self.until < Point(u64::MAX) {
-            self.until = Point(0) + (self.until - self.now);
-        }
-        if self.proven_at < Point(u64::MAX) {
-            self.proven_at = Point(0) + (self.proven_at - self.now);
+        let now = self.now;
+        let times = [
+            &mut self.until,
+            &mut self.beats_at,
+            &mut self.proven_at,
+            &mut self.silent_at,
+        ];
+        for at in times.into_iter().filter(|at| **at < Point(u64::MAX)) {
+            *at = Point(0) + (*at - now);
         }
         self.now = Point(0);
     }
@@ -151,41 +181,88 @@
         }
     }
 
-    fn accept(&mut self) -> Option<Vec<Effect>> {
+    fn serve(&mut self) -> Option<Vec<Effect>> {
         if self.phase != Phase::Loaded || self.input != Some(Input::Heard(Message::Commit)) {
             return None;
         }
-        self.go(Phase::Probation, Some(self.times.beat));
+        self.go(Phase::Probation, None);
+        self.beats_at = self.now + self.times.beat;
         self.proven_at = self.now + self.times.probation;
+        self.silent_at = self.now + self.times.silence;
         let taken = Effect::Say(Message::Taken);
-        Some(vec![Effect::Accept, taken, Effect::Tell("accepts, on probation")])
+        Some(vec![Effect::Serve, taken, Effect::Tell("serves, on probation")])
+    }
+
+    fn hears(&self, message: &Message) -> bool {
+        let heard = matches!(&self.input, Some(Input::Heard(m)) if m == message);
+        self.phase == Phase::Probation && heard
+    }
+
+    fn hear(&mut self) -> Option<Vec<Effect>> {
+        if !self.hears(&Message::Beat) {
+            return None;
+        }
+        self.input = None;
+        self.silent_at = self.now + self.times.silence;
+        Some(Vec::new())
+    }
+
+    /// Accepts from now on, where it doesn't yet.
+    fn begin_to_accept(&mut self, why: &'static str) -> Vec<Effect> {
+        let begins = !std::mem::replace(&mut self.accepts, true);
+        let accept = begins.then_some(Effect::Accept);
+        accept.into_iter().chain([Effect::Tell(why)]).collect()
+    }
+
+    /// The old one leaves before this one is proven.
+    fn replace(&mut self) -> Option<Vec<Effect>> {
+        if !self.hears(&Message::Yours) {
+            return None;
+        }
+        self.input = None;
+        Some(self.begin_to_accept("accepts, for the former process leaves"))
     }
 
-    /// The old one died on the way: whoever accepts goes on.
+    /// The old one died on the way: this one goes on.
     fn outlive(&mut self) -> Option<Vec<Effect>> {
         if self.phase != Phase::Probation || !matches!(self.input, Some(Input::Ended | Input::Garbled)) {
             return None;
         }
         self.go(Phase::Owner, None);
-        Some(vec![Effect::Tell(
-            "the former process is gone, the service is this one's",
-        )])
+        Some(self.begin_to_accept("the former process is gone, the service is this one's"))
     }
 
-    fn prove(&mut self) -> Option<Vec<Effect>> {
-        if self.phase != Phase::Probation || self.input != Some(Input::Time) || self.now < self.until {
+    fn is_due(&self, at: Point) -> bool {
+        self.phase == Phase::Probation && self.input == Some(Input::Time) && self.now >= at
+    }
+
+    /// The old one hangs: newcomers would wait for as long as it does. Should it go on, both accept, which does no harm.
+    fn stand_in(&mut self) -> Option<Vec<Effect>> {
+        if self.accepts || !self.is_due(self.silent_at) {
             return None;
         }
-        if self.now < self.proven_at {
-            self.go(Phase::Probation, Some(self.times.beat));
-            return Some(vec![Effect::Say(Message::Beat)]);
+        Some(self.begin_to_accept("accepts, for the former process is silent"))
+    }
+
+    fn prove(&mut self) -> Option<Vec<Effect>> {
+        if !self.is_due(self.proven_at) {
+            return None;
         }
         self.go(Phase::Owner, None);
-        let proven = Effect::Say(Message::Proven);
-        Some(vec![proven, Effect::Tell("proven, the service is this one's")])
+        let mut effects = vec![Effect::Say(Message::Proven)];
+        effects.extend(self.begin_to_accept("proven, the service is this one's"));
+        Some(effects)
+    }
+
+    fn say_beat(&mut self) -> Option<Vec<Effect>> {
+        if !self.is_due(self.beats_at) {
+            return None;
+        }
+        self.beats_at = self.now + self.times.beat;
+        Some(vec![Effect::Say(Message::Beat)])
     }
 
-    /// Nothing was told to accept, so nothing is accepted: the old one serves, or nobody does, as without this one.
+    /// Nothing was told to serve, so nothing is served: the old one does, or nobody, as without this one.
     fn give_up(&mut self) -> Option<Vec<Effect>> {
         if !matches!(self.phase, Phase::Started | Phase::Loaded) {
             return None;
--- a/crates/takeover/src/old.rs
+++ b/crates/takeover/src/old.rs
@@ -11,9 +11,9 @@
     Offered,
     /// It has state and listener, and is to be ready.
     Sent,
-    /// Nothing is accepted here any more; the new one is to say that it accepts.
+    /// The new one is to say that it serves whom it is sent.
     Committed,
-    /// The new one serves on probation.
+    /// The new one serves on probation; this one accepts for it, and hands over whom it accepted.
     Standby,
     /// The new one is to be gone before anything else; whether clients are accepted again then.
     Fencing {
@@ -38,7 +38,6 @@
         Times {
             hello: Span::millis(10_000),
             ready: Span::millis(10_000),
-            // The gap in which nobody accepts is no longer than this and a kill.
             taken: Span::millis(1000),
             beat: Span::millis(5000),
         }
@@ -68,9 +67,12 @@
     /// Write out what was learned and send it with the listener.
     SendState,
     Say(Message),
-    /// Accept no more clients; who is here stays.
+    /// The two serve the same members from now on.
+    ServeBeside,
+    /// Accept no more clients.
     StopAccepting,
-    Accept,
+    /// Alone again: accept on, and let who is here stay.
+    ServeAlone,
     /// Let clients go between two statements: the new one takes them.
     SendAway,
     /// Go on with the clients of the new process, which is dead.
@@ -97,6 +99,8 @@
     pub phase: Phase,
     pub times: Times,
     until: Point,
+    /// When the new one is next told that this one lives, on probation.
+    beats_at: Point,
     now: Point,
     input: Option<Input>,
     /// This process is to leave once no new one is in its way.
@@ -104,7 +108,7 @@
 }
 
 /// In this order; each takes the input where it is its own.
-const RULES: [Rule<Old, Effect>; 11] = [
+const RULES: [Rule<Old, Effect>; 12] = [
     Old::refuse_a_second,
     Old::start,
     Old::leave,
@@ -115,15 +119,20 @@
     Old::beat,
     Old::gone,
     Old::fence,
+    Old::say_beat,
     Old::pass_over,
 ];
 
+/// So many signs of life go to the new process in the time after which it is silent itself.
+const BEATS: f64 = 10.0;
+
 impl Old {
     pub fn new(times: Times) -> Old {
         Old {
             phase: Phase::Serving,
             times,
             until: Point(u64::MAX),
+            beats_at: Point(u64::MAX),
             now: Point(0),
             input: None,
             leaving: false,
@@ -131,7 +140,7 @@
     }
 
     pub fn next_at(&self) -> Point {
-        self.until
+        self.until.min(self.beats_at)
     }
 
     pub fn take(&mut self, now: Point, input: Input) -> Vec<Effect> {
@@ -144,6 +153,9 @@
         if self.until < Point(u64::MAX) {
             self.until = Point(0) + (self.until - self.now);
         }
+        if self.beats_at < Point(u64::MAX) {
+            self.beats_at = Point(0) + (self.beats_at - self.now);
+        }
         self.now = Point(0);
     }
 
@@ -153,6 +165,9 @@
     }
 
     fn go(&mut self, phase: Phase, within: Option<Span>) {
+        if phase != Phase::Standby {
+            self.beats_at = Point(u64::MAX);
+        }
         self.phase = phase;
         self.until = within.map_or(Point(u64::MAX), |w| self.now + w);
         self.input = None;
@@ -192,6 +207,10 @@
                 let why = "this process was told to leave".to_owned();
                 Some(vec![Effect::Kill, Effect::Tell(Told::Failed(why))])
             }
+            // What is still open here may take long; newcomers don't wait for it.
+            Phase::Committed | Phase::Standby => {
+                Some(vec![Effect::StopAccepting, Effect::Say(Message::Yours)])
+            }
             _ => Some(Vec::new()),
         }
     }
@@ -204,14 +223,15 @@
         Some(vec![Effect::SendState])
     }
 
-    /// Accepting stops before the new one hears of it.
+    /// The new one gets clients from here on. That this one accepts for it leaves no moment in which a client is known
+    /// to a process alone that may be killed on probation.
     fn commit(&mut self) -> Option<Vec<Effect>> {
         if !self.is(Phase::Sent, &Input::Heard(Message::Ready)) {
             return None;
         }
         self.go(Phase::Committed, Some(self.times.taken));
         let say = Effect::Say(Message::Commit);
-        Some(vec![Effect::StopAccepting, say, Effect::Tell(Told::Committed)])
+        Some(vec![Effect::ServeBeside, say, Effect::Tell(Told::Committed)])
     }
 
     fn taken(&mut self) -> Option<Vec<Effect>> {
@@ -219,6 +239,7 @@
             return None;
         }
         self.go(Phase::Standby, Some(self.times.beat));
+        self.beats_at = self.now;
         Some(vec![Effect::SendAway])
     }
 
@@ -227,7 +248,11 @@
             return None;
         }
         self.go(Phase::Done, None);
-        Some(vec![Effect::Tell(Told::Done), Effect::Leave])
+        Some(vec![
+            Effect::StopAccepting,
+            Effect::Tell(Told::Done),
+            Effect::Leave,
+        ])
     }
 
     fn beat(&mut self) -> Option<Vec<Effect>> {
@@ -238,7 +263,7 @@
         Some(Vec::new())
     }
 
-    /// Only an end that is certain lets this process accept again.
+    /// Only an end that is certain lets this process go on with the other's clients.
     fn gone(&mut self) -> Option<Vec<Effect>> {
         let not_started = match self.input.as_ref()? {
             Input::Ended => None,
@@ -248,7 +273,7 @@
         let why = not_started.unwrap_or_else(|| "the new process ended".to_owned());
         let failed = Effect::Tell(Told::Failed(why));
         let phase = self.phase;
-        let accept = matches!(
+        let alone = matches!(
             phase,
             Phase::Committed | Phase::Standby | Phase::Fencing { resumes: true }
         );
@@ -262,7 +287,7 @@
             _ => vec![failed],
         };
         self.go(Phase::Serving, None);
-        let again = accept.then_some([Effect::Accept, Effect::TakeBack]);
+        let again = alone.then_some([Effect::ServeAlone, Effect::TakeBack]);
         Some(again.into_iter().flatten().chain(effects).collect())
     }
 
@@ -291,6 +316,14 @@
         Some(vec![Effect::Kill, Effect::Tell(Told::Failed(why))])
     }
 
+    fn say_beat(&mut self) -> Option<Vec<Effect>> {
+        if !self.is(Phase::Standby, &Input::Time) || self.now < self.beats_at {
+            return None;
+        }
+        self.beats_at = self.now + (self.times.beat * (1.0 / BEATS)).max(Span::millis(1));
+        Some(vec![Effect::Say(Message::Beat)])
+    }
+
     fn pass_over(&mut self) -> Option<Vec<Effect>> {
         self.input.take().map(|_| Vec::new())
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -116,11 +116,6 @@
     matches!(ending, TurnedAway | NoConnection | NeverSent | Missed)
 }
 
-fn needs_primary(settings: &Settings, w: usize) -> bool {
-    let needs = settings.workloads[w].freshness;
-    needs == Freshness::Write || needs == Freshness::Fresh
-}
-
 impl Driver {
     pub fn new(settings: &Settings, seed: u64, now: Point) -> Driver {
         Driver {
@@ -475,7 +470,7 @@
         s.bar = if end.ending == Missed { s.bar } else { s.bar.sqrt() };
         let all_tried = self.groups[s.group].members.iter().all(|m| s.avoid.contains(m));
         let half_used = s.executions * 2 >= self.settings.max_executions;
-        let seeks = needs_primary(&self.settings, s.workload);
+        let seeks = self.settings.needs_primary(s.workload);
         let missed = seeks && end.ending == Missed;
         if missed {
             self.groups[s.group].depose(run.member);
@@ -632,7 +627,7 @@
         let (g, w) = (s.group, s.workload);
         let primary = self.groups[g].primary;
         let fit = primary.filter(|p| self.fits(*p, s));
-        if needs_primary(&self.settings, w) {
+        if self.settings.needs_primary(w) {
             let found = fit.filter(|p| self.has_room(*p));
             self.groups[g].wants_primary |= fit.is_none();
             return if primary.is_none() { self.guess(id) } else { found };
@@ -699,14 +694,14 @@
     /// Many drivers that each hear little would else crowd a member together. What is worth little for its
     /// work is left out first, reads that spill before writes. Slow members and links meet it too.
     fn let_in(&self, m: usize, s: &Stmt) -> bool {
-        let spilled = self.groups[s.group].primary == Some(m) && !needs_primary(&self.settings, s.workload);
+        let spilled = self.groups[s.group].primary == Some(m) && !self.settings.needs_primary(s.workload);
         let bar = if spilled { s.bar.sqrt() } else { s.bar };
         bar <= self.members.let_in[m]
     }
 
     /// None of the members that such statements go to lets it in.
     fn excess(&self, s: &Stmt) -> bool {
-        let (g, writes) = (&self.groups[s.group], needs_primary(&self.settings, s.workload));
+        let (g, writes) = (&self.groups[s.group], self.settings.needs_primary(s.workload));
         let takes = |m: &usize| (!writes || g.primary == Some(*m)) && self.may_send(*m) && self.let_in(*m, s);
         g.primary.is_some() && !g.members.iter().any(takes)
     }
@@ -749,8 +744,10 @@
     fn has_room(&self, m: usize) -> bool {
         let f = &self.members;
         let spared = self.setup > DEAR && !self.connected(m) && f.connections[m] > 0 && self.sparse();
-        let (cold, out) = (self.cold_until(m), f.open[m] + f.elsewhere[m]);
-        let kept = self.yields && cold > Point(0);
+        let (cold, kept) = (self.cold_until(m), self.yields && self.cold_until(m) > Point(0));
+        // Who leaves has no newcomers: the one beside it, always full, would else hold what is left here up.
+        let last = self.yields && f.open[m] == 0;
+        let out = f.open[m] + if last { 0 } else { f.elsewhere[m] };
         (out as f64) < f.limit[m] && cold <= self.now && !spared && !kept
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -77,6 +77,16 @@
     pub max_hold_off: Span,
 }
 
+impl Settings {
+    /// Only the primary can do what such statements want.
+    pub fn needs_primary(&self, workload: usize) -> bool {
+        matches!(
+            self.workloads[workload].freshness,
+            Freshness::Write | Freshness::Fresh
+        )
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Statement {
     pub id: u32,
--- a/tests/beside.rs
+++ b/tests/beside.rs
@@ -29,6 +29,20 @@
     }
 }
 
+/// Who leaves gets nothing new, and the one beside it may always be full: its last ones go out one by one.
+#[test]
+fn who_leaves_is_held_up_by_no_bound_of_the_others() {
+    let mut b = bench(&settings(), 1);
+    b.driver.beside(at(0), true);
+    b.driver.open_elsewhere(at(0), 1, 1000);
+    assert_eq!(b.goes(1, WRITE), [1], "one");
+    assert!(b.goes(2, WRITE).is_empty(), "but not two at once");
+    let mut stays = bench(&settings(), 1);
+    stays.driver.beside(at(0), false);
+    stays.driver.open_elsewhere(at(0), 1, 1000);
+    assert!(stays.goes(1, WRITE).is_empty(), "who stays waits");
+}
+
 /// How many statements a cold member is sent by both together within a second.
 fn sent_cold(yields: bool) -> (usize, usize, usize) {
     let settings = settings();
