--- /dev/null
+++ b/crates/shared/src/catchup.rs
@@ -0,0 +1,352 @@
+//! How copies come to be equal, whatever was lost. A driver sends what its copy comes to, by range, to a peer; that one
+//! answers for each range that differs with hashes of what it holds there; both then send each other what the other lacks.
+//! A round that breaks off has mended what came through; the next one finds the rest. Nothing large is ever sent at once:
+//! each part waits until the rate has room for it.
+//!
+//! A driver that has not caught up says so, and others don't take its copy for whole.
+
+use crate::book::{range, Book, RANGES};
+use crate::wire::Item;
+use asterlatch::time::{Point, Span};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Hashes in one part of a range.
+const PAIRS: usize = 120;
+/// Keys in one wish.
+const WISHES: usize = 200;
+/// What one peer may be owed at most; more is left to its next round.
+const MOST_OWED: usize = 16_384;
+
+/// A round that this driver began.
+#[derive(Clone, Debug, PartialEq)]
+struct Round {
+    number: u32,
+    peer: usize,
+    until: Point,
+    /// The peer was caught up when it was chosen.
+    with_caught_up: bool,
+    /// Ends that are still to be told: of the hashes, and of each wish.
+    ends: usize,
+}
+
+/// What a peer is still to be sent.
+#[derive(Clone, Debug, Default)]
+struct Owed {
+    round: u32,
+    /// Ranges of which it is to hear the hashes, and from where on.
+    ranges: VecDeque<usize>,
+    from: u64,
+    /// Hashes of keys whose entries it is to have, and the round of a wish that ends behind them.
+    entries: VecDeque<Wish>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Wish {
+    Entry(u64),
+    End(u32),
+}
+
+/// Whether this driver's copy is whole, as far as it can know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Since then; a round with each of the others ends it.
+    Behind(Point),
+    CaughtUp,
+}
+
+/// What is seen of the others when it is decided whether this one has caught up.
+pub struct Seen<'a> {
+    pub there: &'a [usize],
+    /// Of those.
+    pub caught_up: &'a [usize],
+    /// Alone since then.
+    pub alone_since: Option<Point>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Catchup {
+    pub standing: Standing,
+    /// Nobody is waited for longer than this.
+    patience: Span,
+    numbers: u32,
+    round: Option<Round>,
+    owed: BTreeMap<usize, Owed>,
+    /// With whom a round has ended since this driver fell behind.
+    compared: BTreeSet<usize>,
+    with_whole: bool,
+    now: Point,
+}
+
+/// In this order: the first that holds decides.
+const RULES: [fn(&Catchup, &Seen) -> Option<Standing>; 4] = [
+    Catchup::is_caught_up,
+    Catchup::by_one_that_is_whole,
+    Catchup::all_woke_together,
+    Catchup::nobody_is_there,
+];
+
+fn short(hash: u64) -> u32 {
+    (hash >> 26) as u32
+}
+
+impl Catchup {
+    pub fn new(now: Point, patience: Span) -> Catchup {
+        Catchup {
+            standing: Standing::Behind(now),
+            patience,
+            numbers: 0,
+            round: None,
+            owed: BTreeMap::new(),
+            compared: BTreeSet::new(),
+            with_whole: false,
+            now,
+        }
+    }
+
+    pub fn is_behind(&self) -> bool {
+        self.standing != Standing::CaughtUp
+    }
+
+    /// It was away: what it holds may be old.
+    pub fn fall_behind(&mut self, now: Point) {
+        self.standing = Standing::Behind(now);
+        (self.round, self.with_whole) = (None, false);
+        self.compared.clear();
+    }
+
+    fn is_caught_up(&self, _: &Seen) -> Option<Standing> {
+        (self.standing == Standing::CaughtUp).then_some(Standing::CaughtUp)
+    }
+
+    /// Whoever was whole when the round began has told all it had.
+    fn by_one_that_is_whole(&self, _: &Seen) -> Option<Standing> {
+        self.with_whole.then_some(Standing::CaughtUp)
+    }
+
+    /// Where nobody is whole, all that are there hold together all there is.
+    fn all_woke_together(&self, seen: &Seen) -> Option<Standing> {
+        let all = seen.there.iter().all(|p| self.compared.contains(p));
+        let lasted = matches!(self.standing, Standing::Behind(since) if self.now - since >= self.patience);
+        (seen.caught_up.is_empty() && !seen.there.is_empty() && all && lasted).then_some(Standing::CaughtUp)
+    }
+
+    fn nobody_is_there(&self, seen: &Seen) -> Option<Standing> {
+        let lasted = seen.alone_since.is_some_and(|at| self.now - at >= self.patience);
+        (seen.there.is_empty() && lasted).then_some(Standing::CaughtUp)
+    }
+
+    /// Whether the standing has changed.
+    pub fn judge(&mut self, now: Point, seen: &Seen) -> bool {
+        self.now = now;
+        let stands = RULES.iter().find_map(|rule| rule(self, seen));
+        let stands = stands.unwrap_or(self.standing);
+        std::mem::replace(&mut self.standing, stands) != stands
+    }
+
+    /// With whom a round is begun next: whole ones first while this one is behind.
+    pub fn choose(&self, seen: &Seen, chance: &mut fastrand::Rng) -> Option<usize> {
+        let fresh: Vec<usize> = seen
+            .there
+            .iter()
+            .copied()
+            .filter(|p| !self.compared.contains(p))
+            .collect();
+        let among = if !self.is_behind() {
+            seen.there
+        } else if !seen.caught_up.is_empty() {
+            seen.caught_up
+        } else if !fresh.is_empty() {
+            &fresh
+        } else {
+            seen.there
+        };
+        chance.choice(among).copied()
+    }
+
+    /// Begins a round unless one is under way.
+    pub fn begin(&mut self, now: Point, peer: usize, is_whole: bool, book: &Book) -> Option<Item> {
+        if self.round.as_ref().is_some_and(|r| now < r.until) {
+            return None;
+        }
+        self.numbers += 1;
+        self.round = Some(Round {
+            number: self.numbers,
+            peer,
+            until: now + self.patience,
+            with_caught_up: is_whole,
+            ends: 1,
+        });
+        Some(Item::Digest {
+            round: self.numbers,
+            ranges: book.digests(),
+        })
+    }
+
+    /// A peer compares its copy with this one.
+    pub fn compare(&mut self, peer: usize, round: u32, ranges: &[u64], book: &Book) {
+        let own = book.digests();
+        let differ = (0..RANGES).filter(|r| ranges.get(*r) != own.get(*r));
+        let owed = self.owed.entry(peer).or_default();
+        // The former round's hashes are of no use any more; wishes are served still.
+        (owed.round, owed.ranges, owed.from) = (round, differ.collect(), 0);
+        owed.entries.push_back(Wish::End(round));
+    }
+
+    /// What a peer holds in a part of a range: this one asks for what it lacks, and owes what the other does.
+    pub fn keys(
+        &mut self,
+        peer: usize,
+        round: u32,
+        (from, upto): (u64, u64),
+        pairs: &[(u32, u32)],
+        book: &Book,
+    ) -> Vec<Item> {
+        let Some(own) = self
+            .round
+            .as_mut()
+            .filter(|r| r.number == round && r.peer == peer)
+        else {
+            return Vec::new();
+        };
+        let theirs: BTreeMap<u32, u32> = pairs.iter().copied().collect();
+        let (mut ours, mut owes) = (BTreeMap::new(), Vec::new());
+        for entry in book.between(from, upto) {
+            let (key, whole) = (short(entry.hashes.0), entry.hashes.1 as u32);
+            ours.insert(key, whole);
+            if theirs.get(&key) != Some(&whole) {
+                owes.push(Wish::Entry(entry.hashes.0));
+            }
+        }
+        let lacks = theirs.iter().filter(|(key, whole)| ours.get(key) != Some(whole));
+        let lacks: Vec<u32> = lacks.map(|(key, _)| *key).collect();
+        let wish = |keys: &[u32]| Item::Want {
+            round,
+            range: range(from) as u8,
+            keys: keys.to_vec(),
+        };
+        let wishes: Vec<Item> = lacks.chunks(WISHES).map(wish).collect();
+        own.ends += wishes.len();
+        let owed = self.owed.entry(peer).or_default();
+        owed.entries.extend(owes);
+        owed.entries.truncate(MOST_OWED);
+        wishes
+    }
+
+    /// A peer lacks these.
+    pub fn wish(&mut self, peer: usize, round: u32, of: u8, keys: &[u32], book: &Book) {
+        let wanted: BTreeSet<u32> = keys.iter().copied().collect();
+        let owed = self.owed.entry(peer).or_default();
+        let found = book.within(usize::from(of)).map(|e| e.hashes.0);
+        let found = found.filter(|hash| wanted.contains(&short(*hash)));
+        owed.entries.extend(found.map(Wish::Entry));
+        owed.entries.truncate(MOST_OWED);
+        owed.entries.push_back(Wish::End(round));
+    }
+
+    /// A peer has sent all of a part of this driver's round; whether that ends it.
+    pub fn done(&mut self, peer: usize, round: u32) -> bool {
+        let own = self
+            .round
+            .as_mut()
+            .filter(|r| r.number == round && r.peer == peer);
+        let Some(own) = own else { return false };
+        own.ends = own.ends.saturating_sub(1);
+        if own.ends > 0 {
+            return false;
+        }
+        self.with_whole |= own.with_caught_up;
+        self.compared.insert(peer);
+        self.round = None;
+        true
+    }
+
+    /// Whether anything waits to be sent.
+    pub fn owes(&self) -> bool {
+        self.owed
+            .values()
+            .any(|o| !o.ranges.is_empty() || !o.entries.is_empty())
+    }
+
+    /// Who is gone is owed nothing.
+    pub fn forget(&mut self, peer: usize) {
+        self.owed.remove(&peer);
+        self.compared.remove(&peer);
+        self.round.take_if(|r| r.peer == peer);
+    }
+
+    /// The next part for each peer that is owed something, by turns, while `may` lets it.
+    pub fn pay(&mut self, now: Point, book: &Book, mut may: impl FnMut(usize, &[u8]) -> bool) {
+        let mut peers: VecDeque<usize> = self.owed.keys().copied().collect();
+        while let Some(peer) = peers.pop_front() {
+            let Some(owed) = self.owed.get_mut(&peer) else {
+                continue;
+            };
+            let Some(item) = owed.next(now, book) else {
+                self.owed.remove(&peer);
+                continue;
+            };
+            if !may(peer, &item.0.bytes()) {
+                return;
+            }
+            item.1.apply(owed);
+            peers.push_back(peer);
+        }
+    }
+}
+
+/// What is over once an item was sent.
+enum Step {
+    Entry,
+    Range { next: Option<u64> },
+}
+
+impl Step {
+    fn apply(self, owed: &mut Owed) {
+        match self {
+            Step::Entry => drop(owed.entries.pop_front()),
+            Step::Range { next: Some(from) } => owed.from = from,
+            Step::Range { next: None } => {
+                owed.ranges.pop_front();
+                owed.from = 0;
+            }
+        }
+    }
+}
+
+impl Owed {
+    /// Hashes first, for who compares waits for them; then entries.
+    fn next(&mut self, now: Point, book: &Book) -> Option<(Item, Step)> {
+        if let Some(range) = self.ranges.front() {
+            let (low, high) = ((*range as u64) << 58, ((*range as u64) << 58) | (u64::MAX >> 6));
+            let from = self.from.max(low);
+            let part: Vec<_> = book.between(from, high).take(PAIRS + 1).collect();
+            let upto = match part.get(PAIRS) {
+                Some(beyond) => beyond.hashes.0 - 1,
+                None => high,
+            };
+            let pairs = part.iter().take(PAIRS);
+            let item = Item::Keys {
+                round: self.round,
+                range: *range as u8,
+                from,
+                upto,
+                pairs: pairs.map(|e| (short(e.hashes.0), e.hashes.1 as u32)).collect(),
+            };
+            let next = (upto < high).then_some(upto.wrapping_add(1));
+            return Some((item, Step::Range { next }));
+        }
+        loop {
+            match *self.entries.front()? {
+                Wish::End(round) => return Some((Item::Done { round }, Step::Entry)),
+                Wish::Entry(hash) => match book.by_hash(hash) {
+                    Some(entry) => {
+                        let item = Item::Fact(entry.fact.clone(), Book::age_of(entry, now));
+                        return Some((item, Step::Entry));
+                    }
+                    // It was let go meanwhile.
+                    None => drop(self.entries.pop_front()),
+                },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/shared/src/doubts.rs
@@ -0,0 +1,243 @@
+//! Statements that must not run twice, and clients that repeat them at another driver.
+//!
+//! A driver that is asked to run a marked repeat of such a statement doesn't know whether another one has sent it. It asks
+//! all others, and while they haven't answered the statement goes nowhere. Who is asked and holds the statement gives it
+//! away: it sends it no more, whatever its client thinks. So of two that ask each other neither sends. Who doesn't
+//! answer, began a short while ago, or has forgotten ids since, may have sent it: the statement is then told to be in
+//! doubt at once, which is true, and never sent.
+
+use asterlatch::time::{Point, Span};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What a driver knows of a statement's past with itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Known {
+    /// It was never sent from there, and won't be.
+    Untouched,
+    /// It may have run since so long ago, first at this member.
+    Sent { ago: Span, member: String },
+    /// Nobody there can say.
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Note {
+    sent: Point,
+    member: String,
+}
+
+/// What one driver has sent, as far back as a client may repeat.
+#[derive(Clone, Debug)]
+pub struct Log {
+    /// How long after its first sending a statement may be repeated.
+    window: Span,
+    most: usize,
+    /// Nothing is known of what was before: a former life may have sent it.
+    blank_until: Point,
+    sent: BTreeMap<u64, Note>,
+    /// Ids that another driver has asked about: it may run them by now.
+    given: BTreeSet<u64>,
+    order: VecDeque<(Point, u64)>,
+    /// When the newest was sent that had to be forgotten for want of room.
+    forgotten: Option<Point>,
+}
+
+impl Log {
+    /// `follows` says whether another life of this driver may have been before: not where nothing ever was.
+    pub fn new(now: Point, window: Span, most: usize, follows: bool) -> Log {
+        Log {
+            window,
+            most: most.max(1),
+            blank_until: if follows { now + window } else { now },
+            sent: BTreeMap::new(),
+            given: BTreeSet::new(),
+            order: VecDeque::new(),
+            forgotten: None,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// It goes out now, and may run from here on.
+    pub fn sends(&mut self, now: Point, id: u64, member: &str) {
+        self.age(now);
+        if self.sent.contains_key(&id) {
+            return;
+        }
+        let (sent, member) = (now, member.to_owned());
+        self.sent.insert(id, Note { sent, member });
+        self.order.push_back((now, id));
+        self.make_room();
+    }
+
+    /// Every time it went out is proven to have left it untouched.
+    pub fn untouched(&mut self, id: u64) {
+        self.sent.remove(&id);
+    }
+
+    /// Another driver may run it: it must not be sent from here.
+    pub fn give_away(&mut self, now: Point, id: u64) {
+        self.age(now);
+        if self.given.insert(id) {
+            self.order.push_back((now, id));
+            self.make_room();
+        }
+    }
+
+    /// Whether another driver asked about it, and it must not be sent from here.
+    pub fn is_given(&self, id: u64) -> bool {
+        self.given.contains(&id)
+    }
+
+    fn age(&mut self, now: Point) {
+        while let Some((at, id)) = self
+            .order
+            .front()
+            .copied()
+            .filter(|(at, _)| now - *at >= self.window)
+        {
+            self.order.pop_front();
+            self.drop_one(at, id);
+        }
+    }
+
+    fn drop_one(&mut self, _at: Point, id: u64) {
+        self.sent.remove(&id);
+        self.given.remove(&id);
+    }
+
+    fn make_room(&mut self) {
+        while self.order.len() > self.most {
+            let Some((at, id)) = self.order.pop_front() else {
+                return;
+            };
+            if self.sent.contains_key(&id) || self.given.contains(&id) {
+                self.forgotten = self.forgotten.max(Some(at));
+            }
+            self.drop_one(at, id);
+        }
+    }
+
+    /// What is said of it to who asks.
+    pub fn known(&mut self, now: Point, id: u64) -> Known {
+        self.age(now);
+        if let Some(note) = self.sent.get(&id) {
+            return Known::Sent {
+                ago: now - note.sent,
+                member: note.member.clone(),
+            };
+        }
+        let forgotten = self.forgotten.is_some_and(|at| now - at < self.window);
+        if now < self.blank_until || forgotten {
+            return Known::Unknown;
+        }
+        Known::Untouched
+    }
+}
+
+/// What a statement may do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nobody has sent it or will: it is one like any other.
+    Untouched,
+    /// It may have run since so long ago, first at this member, as far as that is known: the first of several.
+    Sent { ago: Span, member: Option<String> },
+}
+
+#[derive(Clone, Debug)]
+struct Inquiry {
+    turn: u32,
+    waits: BTreeSet<usize>,
+    until: Point,
+}
+
+/// Statements that wait for the others' word.
+#[derive(Clone, Debug, Default)]
+pub struct Inquiries {
+    open: BTreeMap<u64, Inquiry>,
+    turns: u32,
+}
+
+/// It may have run at any time: nothing later is harmless.
+pub const FOREVER: Span = Span(u64::MAX / 4);
+
+impl Inquiries {
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Begins to ask about a statement; the turn that answers must name. Where nobody is to be asked its verdict is there
+    /// at once.
+    pub fn ask(&mut self, now: Point, id: u64, peers: &[usize], within: Span) -> Result<u32, Verdict> {
+        if peers.is_empty() {
+            return Err(Verdict::Untouched);
+        }
+        self.turns += 1;
+        let inquiry = Inquiry {
+            turn: self.turns,
+            waits: peers.iter().copied().collect(),
+            until: now + within,
+        };
+        self.open.insert(id, inquiry);
+        Ok(self.turns)
+    }
+
+    /// A peer has answered; the verdict, once nothing more has to be waited for.
+    pub fn answered(&mut self, id: u64, turn: u32, peer: usize, known: &Known) -> Option<Verdict> {
+        let inquiry = self.open.get_mut(&id).filter(|i| i.turn == turn)?;
+        if !inquiry.waits.remove(&peer) {
+            return None;
+        }
+        let verdict = match known {
+            // One is enough: nobody's word takes that back.
+            Known::Sent { ago, member } => Verdict::Sent {
+                ago: *ago,
+                member: Some(member.clone()),
+            },
+            Known::Unknown => Verdict::Sent {
+                ago: FOREVER,
+                member: None,
+            },
+            Known::Untouched if inquiry.waits.is_empty() => Verdict::Untouched,
+            Known::Untouched => return None,
+        };
+        self.open.remove(&id);
+        Some(verdict)
+    }
+
+    /// Its client has gone, or another driver asks: it is not to be sent from here.
+    pub fn end(&mut self, id: u64) -> bool {
+        self.open.remove(&id).is_some()
+    }
+
+    pub fn next_at(&self) -> Option<Point> {
+        self.open.values().map(|i| i.until).min()
+    }
+
+    /// Whom nobody's silence will tell more of: the peers that were silent may have sent it.
+    pub fn due(&mut self, now: Point) -> Vec<(u64, Verdict)> {
+        let over: Vec<u64> = self
+            .open
+            .iter()
+            .filter(|(_, i)| i.until <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        let ends = over.into_iter().inspect(|id| drop(self.open.remove(id)));
+        let silent = |id| {
+            let (ago, member) = (FOREVER, None);
+            (id, Verdict::Sent { ago, member })
+        };
+        ends.map(silent).collect()
+    }
+}
--- /dev/null
+++ b/crates/shared/src/fact.rs
@@ -0,0 +1,285 @@
+//! Facts, and which of two tellings of one stands. Merging is commutative, associative and idempotent for each kind, so
+//! copies that were told the same in any order are equal. Where two tellings can't both be true the conservative one
+//! stands, and `quarrel` keeps both.
+
+use asterlatch::time::{Point, Span};
+use serde::{Deserialize, Serialize};
+
+/// How the list calls a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// Each with what may be done with it. Members and drivers go by name.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Fact {
+    /// What a member said of itself to some driver, in milliseconds of its log: how far it was, and where it last spoke as
+    /// primary and as replica (zero: never). Its owner is the member. A later start wins, then each figure alone, for
+    /// positions only grow. A lower bound for freshness and never a promise: what is behind a cut may be further on, and a
+    /// position above a fork is void once a promoted replica has spoken.
+    Member {
+        name: String,
+        started_ms: u64,
+        group: u32,
+        position: u64,
+        primary_at: u64,
+        replica_at: u64,
+    },
+    /// How the list calls a member, from the version of the list that said so. Its owner is discovery. A later start wins,
+    /// then the newer list, then the worse standing. A drain binds from when it is heard; only a newer list ends it.
+    Drain {
+        name: String,
+        started_ms: u64,
+        list: u64,
+        standing: Standing,
+    },
+    /// How much work a driver has sent to a member since that started, while it was cold. Its owner is that driver; it
+    /// only grows within one life of the driver. Summed over drivers it is what the member has borne.
+    Cold {
+        member: String,
+        started_ms: u64,
+        driver: String,
+        life: u64,
+        work_us: u64,
+    },
+    /// Where a session's last write was committed, as the driver that carried it was told. The furthest wins. A read of
+    /// that session must see it; one that isn't known proves nothing.
+    Session { session: u64, position: u64 },
+    /// What a driver says of itself: the `said`th time in this life. It decides nothing; operators see it.
+    Driver {
+        name: String,
+        life: u64,
+        said: u64,
+        list: u64,
+        file: u64,
+        caught_up: bool,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// In the order in which they are told when not all can be.
+    Drain,
+    Cold,
+    Member,
+    Driver,
+    Session,
+}
+
+pub const KINDS: [Kind; 5] = [Kind::Drain, Kind::Cold, Kind::Member, Kind::Driver, Kind::Session];
+
+/// Of what a fact tells. Two facts of one key are two tellings of the same.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key(pub Kind, pub String);
+
+/// Longer names are not taken: they come from settings, which are shorter.
+pub const LONGEST_NAME: usize = 128;
+
+impl Kind {
+    /// As datagrams number it. A number is never given to another kind.
+    pub fn number(self) -> u8 {
+        match self {
+            Kind::Member => 16,
+            Kind::Drain => 17,
+            Kind::Cold => 18,
+            Kind::Session => 19,
+            Kind::Driver => 20,
+        }
+    }
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Member => "member",
+            Kind::Drain => "drain",
+            Kind::Cold => "cold",
+            Kind::Session => "session",
+            Kind::Driver => "driver",
+        }
+    }
+
+    /// What was told longer ago is let go, and not taken from others either.
+    pub fn kept(self) -> Span {
+        match self {
+            // A member that nobody has heard for so long is unknown again.
+            Kind::Member => Span::millis(120_000),
+            Kind::Drain => Span::millis(600_000),
+            // Longer than any member stays cold.
+            Kind::Cold => Span::millis(120_000),
+            // Replicas that are further behind are none that reads go to.
+            Kind::Session => Span::millis(30_000),
+            Kind::Driver => Span::millis(600_000),
+        }
+    }
+
+    /// How many of this kind a copy holds at most; the oldest go first.
+    pub fn most(self) -> usize {
+        match self {
+            Kind::Member | Kind::Drain => 4096,
+            Kind::Cold => 16_384,
+            Kind::Session => 32_768,
+            Kind::Driver => 1024,
+        }
+    }
+}
+
+/// Which of two tellings stands: the one that is here, the one that came, or what both say together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stands {
+    Same,
+    Here,
+    Came,
+    Both(Fact),
+}
+
+impl Fact {
+    pub fn kind(&self) -> Kind {
+        match self {
+            Fact::Member { .. } => Kind::Member,
+            Fact::Drain { .. } => Kind::Drain,
+            Fact::Cold { .. } => Kind::Cold,
+            Fact::Session { .. } => Kind::Session,
+            Fact::Driver { .. } => Kind::Driver,
+        }
+    }
+
+    pub fn key(&self) -> Key {
+        let of = match self {
+            Fact::Member { name, .. } | Fact::Drain { name, .. } | Fact::Driver { name, .. } => name.clone(),
+            Fact::Cold {
+                member,
+                started_ms,
+                driver,
+                ..
+            } => format!("{member} {started_ms} {driver}"),
+            Fact::Session { session, .. } => format!("{session:016x}"),
+        };
+        Key(self.kind(), of)
+    }
+
+    /// Whether it could be taken at all.
+    pub fn is_sound(&self) -> bool {
+        let named = |names: &[&String]| names.iter().all(|n| !n.is_empty() && n.len() <= LONGEST_NAME);
+        match self {
+            Fact::Member { name, .. } | Fact::Drain { name, .. } | Fact::Driver { name, .. } => {
+                named(&[name])
+            }
+            Fact::Cold { member, driver, .. } => named(&[member, driver]),
+            Fact::Session { session, .. } => *session != 0,
+        }
+    }
+
+    /// What stands of two tellings of one key.
+    pub fn against(&self, came: &Fact) -> Stands {
+        if self == came {
+            return Stands::Same;
+        }
+        let joined = self.joined(came);
+        if joined == *self {
+            Stands::Here
+        } else if joined == *came {
+            Stands::Came
+        } else {
+            Stands::Both(joined)
+        }
+    }
+
+    /// The least telling that holds all that both say. Of two kinds or keys this one.
+    pub fn joined(&self, other: &Fact) -> Fact {
+        match (self, other) {
+            (
+                Fact::Member {
+                    name,
+                    started_ms,
+                    group,
+                    position,
+                    primary_at,
+                    replica_at,
+                },
+                Fact::Member {
+                    started_ms: s,
+                    group: g,
+                    position: p,
+                    primary_at: pa,
+                    replica_at: ra,
+                    ..
+                },
+            ) => match started_ms.cmp(s) {
+                std::cmp::Ordering::Less => other.clone(),
+                std::cmp::Ordering::Greater => self.clone(),
+                std::cmp::Ordering::Equal => Fact::Member {
+                    name: name.clone(),
+                    started_ms: *s,
+                    group: *group.max(g),
+                    position: *position.max(p),
+                    primary_at: *primary_at.max(pa),
+                    replica_at: *replica_at.max(ra),
+                },
+            },
+            (
+                Fact::Drain {
+                    started_ms,
+                    list,
+                    standing,
+                    ..
+                },
+                Fact::Drain {
+                    started_ms: s,
+                    list: l,
+                    standing: st,
+                    ..
+                },
+            ) => larger(self, other, (started_ms, list, standing) >= (s, l, st)),
+            (
+                Fact::Cold { life, work_us, .. },
+                Fact::Cold {
+                    life: l, work_us: w, ..
+                },
+            ) => larger(self, other, (life, work_us) >= (l, w)),
+            (Fact::Session { position, .. }, Fact::Session { position: p, .. }) => {
+                larger(self, other, position >= p)
+            }
+            (
+                Fact::Driver {
+                    life,
+                    said,
+                    list,
+                    file,
+                    caught_up,
+                    ..
+                },
+                Fact::Driver {
+                    life: li,
+                    said: sa,
+                    list: l,
+                    file: f,
+                    caught_up: c,
+                    ..
+                },
+            ) => larger(
+                self,
+                other,
+                // Who hasn't caught up is believed in that.
+                (life, said, !caught_up, list, file) >= (li, sa, !c, l, f),
+            ),
+            _ => self.clone(),
+        }
+    }
+
+    /// When what stands of two tellings was told: `here` and `came` are when each was.
+    pub fn told(&self, stands: &Stands, here: Point, came: Point) -> Point {
+        match stands {
+            Stands::Here => here,
+            Stands::Came => came,
+            // A drain counts from its first telling; of what a member says it counts when it was last seen to hold.
+            Stands::Same if self.kind() == Kind::Drain => here.min(came),
+            Stands::Same | Stands::Both(_) => here.max(came),
+        }
+    }
+}
+
+fn larger(one: &Fact, other: &Fact, one_wins: bool) -> Fact {
+    if one_wins { one } else { other }.clone()
+}
--- /dev/null
+++ b/crates/shared/src/lib.rs
@@ -0,0 +1,27 @@
+//! What drivers of one fleet tell each other, so that each decides on what all have heard, and none by chance on what it
+//! alone has not. Nothing here does I/O: datagrams and times go in, datagrams and news come out.
+//!
+//! | module | decides |
+//! | --- | --- |
+//! | `fact` | what is told, and which of two tellings stands |
+//! | `book` | one driver's copy: bounds, ages, what differs from another's |
+//! | `quarrel` | what can't both be true: kept for operators |
+//! | `peers` | who is there, suspected, gone, back; how late its word comes |
+//! | `spread` | what is told to whom, when, and how much of it |
+//! | `catchup` | how a driver that was away comes by what it missed |
+//! | `doubts` | statements that must not run twice: who may have sent one, and whether it may go out here |
+//! | `engine` | all of it together, input by input |
+//! | `wire` | datagrams |
+//!
+//! Facts travel as ages and never as readings of a clock. What is believed for how long, and what the decisions may do
+//! with it, stands with each fact.
+
+pub mod book;
+pub mod catchup;
+pub mod doubts;
+pub mod engine;
+pub mod fact;
+pub mod peers;
+pub mod quarrel;
+pub mod spread;
+pub mod wire;
--- /dev/null
+++ b/crates/shared/src/wire.rs
@@ -0,0 +1,289 @@
+//! Datagrams between drivers: a head, then items of a kind, a length and a body. Kinds and trailing bytes that a driver
+//! doesn't know are passed over, so that two versions understand each other as far as both go. A hash over everything,
+//! begun with the fleet's name, tells garbled ones and those of another fleet.
+
+use crate::fact::{Fact, Kind};
+use asterlatch::time::{Point, Span};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Of the head. Items need none: a kind is never used for anything else.
+pub const VERSION: u8 = 1;
+/// The least version that is still understood.
+pub const LEAST: u8 = 1;
+/// A datagram that every network takes whole.
+pub const LONGEST: usize = 1400;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    pub name: String,
+    pub life: u64,
+    /// By the sender's own clock, which means nothing but against itself.
+    pub sent: Point,
+    /// The latest life in which the sender knows the receiver.
+    pub knows_you: u64,
+    pub caught_up: bool,
+}
+
+/// Which statement is asked about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Question {
+    pub id: u64,
+    /// Tells a repeated question of one id from the former.
+    pub turn: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Item {
+    /// A message of the membership library.
+    Presence(Vec<u8>),
+    /// A fact, and how long ago it was told.
+    Fact(Fact, Span),
+    /// What the sender's copy comes to, by range.
+    Digest {
+        round: u32,
+        ranges: Vec<u64>,
+    },
+    /// What a range holds in the sender's copy: hashes of keys and of wholes, cut short. `upto` is the hash up to which
+    /// this part of the range goes.
+    Keys {
+        round: u32,
+        range: u8,
+        from: u64,
+        upto: u64,
+        pairs: Vec<(u32, u32)>,
+    },
+    /// Entries that the sender lacks, by their keys' hashes.
+    Want {
+        round: u32,
+        range: u8,
+        keys: Vec<u32>,
+    },
+    /// All that was asked for in this round was sent.
+    Done {
+        round: u32,
+    },
+    Ask(Question),
+    Answer(Question, crate::doubts::Known),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Neither this program's nor whole, or of another fleet.
+    Garbled,
+    /// Of a version that isn't understood any more, or not yet.
+    Version(u8),
+}
+
+const PRESENCE: u8 = 1;
+const DIGEST: u8 = 2;
+const KEYS: u8 = 3;
+const WANT: u8 = 4;
+const DONE: u8 = 5;
+const ASK: u8 = 6;
+const ANSWER: u8 = 7;
+
+fn body<T: Serialize>(value: &T) -> Vec<u8> {
+    // Everything here can be written.
+    postcard::to_stdvec(value).unwrap_or_default()
+}
+
+/// Bytes behind what is known are a later version's.
+fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
+    postcard::take_from_bytes(bytes).ok().map(|(value, _)| value)
+}
+
+/// A fact's figures without the name of its kind, which its number tells.
+fn fact_body(fact: &Fact, age: Span) -> Vec<u8> {
+    match fact {
+        Fact::Member {
+            name,
+            started_ms,
+            group,
+            position,
+            primary_at,
+            replica_at,
+        } => body(&(age, name, started_ms, group, position, primary_at, replica_at)),
+        Fact::Drain {
+            name,
+            started_ms,
+            list,
+            standing,
+        } => body(&(age, name, started_ms, list, standing)),
+        Fact::Cold {
+            member,
+            started_ms,
+            driver,
+            life,
+            work_us,
+        } => body(&(age, member, started_ms, driver, life, work_us)),
+        Fact::Session { session, position } => body(&(age, session, position)),
+        Fact::Driver {
+            name,
+            life,
+            said,
+            list,
+            file,
+            caught_up,
+        } => body(&(age, name, life, said, list, file, caught_up)),
+    }
+}
+
+fn read_fact(kind: Kind, bytes: &[u8]) -> Option<(Fact, Span)> {
+    Some(match kind {
+        Kind::Member => {
+            let (age, name, started_ms, group, position, primary_at, replica_at) = read(bytes)?;
+            let fact = Fact::Member {
+                name,
+                started_ms,
+                group,
+                position,
+                primary_at,
+                replica_at,
+            };
+            (fact, age)
+        }
+        Kind::Drain => {
+            let (age, name, started_ms, list, standing) = read(bytes)?;
+            let fact = Fact::Drain {
+                name,
+                started_ms,
+                list,
+                standing,
+            };
+            (fact, age)
+        }
+        Kind::Cold => {
+            let (age, member, started_ms, driver, life, work_us) = read(bytes)?;
+            let fact = Fact::Cold {
+                member,
+                started_ms,
+                driver,
+                life,
+                work_us,
+            };
+            (fact, age)
+        }
+        Kind::Session => {
+            let (age, session, position) = read(bytes)?;
+            (Fact::Session { session, position }, age)
+        }
+        Kind::Driver => {
+            let (age, name, life, said, list, file, caught_up) = read(bytes)?;
+            let fact = Fact::Driver {
+                name,
+                life,
+                said,
+                list,
+                file,
+                caught_up,
+            };
+            (fact, age)
+        }
+    })
+}
+
+impl Item {
+    pub fn bytes(&self) -> Vec<u8> {
+        let (kind, body) = match self {
+            Item::Presence(data) => (PRESENCE, data.clone()),
+            Item::Fact(fact, age) => (fact.kind().number(), fact_body(fact, *age)),
+            Item::Digest { round, ranges } => (DIGEST, body(&(round, ranges))),
+            Item::Keys {
+                round,
+                range,
+                from,
+                upto,
+                pairs,
+            } => (KEYS, body(&(round, range, from, upto, pairs))),
+            Item::Want { round, range, keys } => (WANT, body(&(round, range, keys))),
+            Item::Done { round } => (DONE, body(round)),
+            Item::Ask(question) => (ASK, body(question)),
+            Item::Answer(question, known) => (ANSWER, body(&(question, known))),
+        };
+        let length = u16::try_from(body.len()).unwrap_or(u16::MAX);
+        [&[kind][..], &length.to_be_bytes(), &body].concat()
+    }
+
+    /// None where the kind isn't known or the body makes no sense: whatever is lost is told again.
+    fn read(kind: u8, bytes: &[u8]) -> Option<Item> {
+        let fact = crate::fact::KINDS.into_iter().find(|k| k.number() == kind);
+        Some(match kind {
+            PRESENCE => Item::Presence(bytes.to_vec()),
+            DIGEST => {
+                let (round, ranges) = read(bytes)?;
+                Item::Digest { round, ranges }
+            }
+            KEYS => {
+                let (round, range, from, upto, pairs) = read(bytes)?;
+                Item::Keys {
+                    round,
+                    range,
+                    from,
+                    upto,
+                    pairs,
+                }
+            }
+            WANT => {
+                let (round, range, keys) = read(bytes)?;
+                Item::Want { round, range, keys }
+            }
+            DONE => Item::Done { round: read(bytes)? },
+            ASK => Item::Ask(read(bytes)?),
+            ANSWER => {
+                let (question, known) = read(bytes)?;
+                Item::Answer(question, known)
+            }
+            _ => {
+                let (fact, age) = read_fact(fact?, bytes)?;
+                Item::Fact(fact, age)
+            }
+        })
+    }
+}
+
+fn hash(fleet: &str, bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, xxh3_64_with_seed(fleet.as_bytes(), 0))
+}
+
+/// How many bytes a head takes, about: what is left is for items.
+pub fn room(head: &Head) -> usize {
+    LONGEST - 9 - 2 - body(head).len()
+}
+
+/// Items that together are no longer than `room`.
+pub fn datagram(fleet: &str, head: &Head, items: &[Vec<u8>]) -> Vec<u8> {
+    let head = body(head);
+    let mut rest = vec![VERSION];
+    rest.extend((head.len() as u16).to_be_bytes());
+    rest.extend(head);
+    items.iter().for_each(|item| rest.extend(item));
+    let mut all = hash(fleet, &rest).to_be_bytes().to_vec();
+    all.extend(rest);
+    all
+}
+
+/// What came, as far as it is understood.
+pub fn read_datagram(fleet: &str, bytes: &[u8]) -> Result<(Head, Vec<Item>), Fault> {
+    let (hashed, rest) = bytes.split_first_chunk::<8>().ok_or(Fault::Garbled)?;
+    if u64::from_be_bytes(*hashed) != hash(fleet, rest) {
+        return Err(Fault::Garbled);
+    }
+    let (version, rest) = rest.split_first().ok_or(Fault::Garbled)?;
+    if *version < LEAST {
+        return Err(Fault::Version(*version));
+    }
+    let (length, rest) = rest.split_first_chunk::<2>().ok_or(Fault::Garbled)?;
+    let length = usize::from(u16::from_be_bytes(*length));
+    let (head, mut rest) = rest.split_at_checked(length).ok_or(Fault::Garbled)?;
+    let head: Head = read(head).ok_or(Fault::Version(*version))?;
+    let mut items = Vec::new();
+    while let Some((kind, more)) = rest.split_first() {
+        let (length, more) = more.split_first_chunk::<2>().ok_or(Fault::Garbled)?;
+        let length = usize::from(u16::from_be_bytes(*length));
+        let (bytes, more) = more.split_at_checked(length).ok_or(Fault::Garbled)?;
+        items.extend(Item::read(*kind, bytes));
+        rest = more;
+    }
+    Ok((head, items))
+}
--- /dev/null
+++ b/crates/shared/tests/common/mod.rs
@@ -0,0 +1,266 @@
+//! Engines of many drivers over a network of virtual time: each with a clock of its own, links that lose, delay, repeat,
+//! garble and are cut one way or both.
+#![allow(dead_code)] // each test file uses a part
+
+use asterlatch::time::{Point, Span};
+use asterlatch_shared::engine::{Engine, Input, Output, Settings};
+use asterlatch_shared::fact::{Fact, Standing};
+use asterlatch_shared::peers::Times;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub fn name(n: usize) -> String {
+    format!("d{n}")
+}
+
+pub fn member(name: &str, position: u64, primary_at: u64, replica_at: u64) -> Fact {
+    Fact::Member {
+        name: name.to_owned(),
+        started_ms: 5,
+        group: 1,
+        position,
+        primary_at,
+        replica_at,
+    }
+}
+
+pub fn drain(name: &str, list: u64, standing: Standing) -> Fact {
+    Fact::Drain {
+        name: name.to_owned(),
+        started_ms: 5,
+        list,
+        standing,
+    }
+}
+
+pub fn session(session: u64, position: u64) -> Fact {
+    Fact::Session { session, position }
+}
+
+pub fn settings(n: usize, all: usize) -> Settings {
+    Settings {
+        fleet: "test".to_owned(),
+        name: name(n),
+        peers: (0..all).filter(|p| *p != n).map(name).collect(),
+        tick: Span::millis(100),
+        fanout: 3,
+        compare: Span::millis(1000),
+        rate: 64 * 1024,
+        times: Times::default(),
+        ask: Span::millis(100),
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    pub delay: Span,
+    /// Parts of a thousand.
+    pub lost: u32,
+    pub doubled: u32,
+    pub garbled: u32,
+}
+
+impl Default for Link {
+    fn default() -> Link {
+        Link {
+            delay: Span::millis(2),
+            lost: 0,
+            doubled: 0,
+            garbled: 0,
+        }
+    }
+}
+
+pub struct Driver {
+    pub engine: Engine,
+    /// Its clock less the network's.
+    pub clock: i64,
+    pub life: u64,
+    pub is_up: bool,
+    pub paused: bool,
+    /// What lies unread.
+    unread: Vec<(usize, Vec<u8>)>,
+    pub outputs: Vec<Output>,
+}
+
+pub struct Net {
+    pub now: Point,
+    pub drivers: Vec<Driver>,
+    pub link: Link,
+    /// From, to.
+    pub cut: BTreeSet<(usize, usize)>,
+    flying: BTreeMap<(Point, u64), (usize, usize, Vec<u8>)>,
+    count: u64,
+    chance: fastrand::Rng,
+    pub make: fn(usize, usize) -> Settings,
+}
+
+impl Net {
+    pub fn new(count: usize, seed: u64) -> Net {
+        Net::with(count, seed, settings)
+    }
+
+    pub fn with(count: usize, seed: u64, make: fn(usize, usize) -> Settings) -> Net {
+        let mut net = Net {
+            now: Point(1_000_000_000),
+            drivers: Vec::new(),
+            link: Link::default(),
+            cut: BTreeSet::new(),
+            flying: BTreeMap::new(),
+            count: 0,
+            chance: fastrand::Rng::with_seed(seed),
+            make,
+        };
+        for n in 0..count {
+            // Half of them an hour off, to either side.
+            let clock = [0, 3_600_000_000, -900_000_000][n % 3];
+            let driver = net.driver(n, count, clock, 100);
+            net.drivers.push(driver);
+        }
+        net
+    }
+
+    fn driver(&self, n: usize, count: usize, clock: i64, life: u64) -> Driver {
+        let now = Point((self.now.0 as i64 + clock) as u64);
+        Driver {
+            engine: Engine::new((self.make)(n, count), life, n as u64 + 1, now),
+            clock,
+            life,
+            is_up: true,
+            paused: false,
+            unread: Vec::new(),
+            outputs: Vec::new(),
+        }
+    }
+
+    /// By that driver's clock.
+    pub fn local(&self, n: usize) -> Point {
+        Point((self.now.0 as i64 + self.drivers[n].clock) as u64)
+    }
+
+    /// Begins anew with nothing, by a clock that may have been set.
+    pub fn restart(&mut self, n: usize, clock: i64, life: u64) {
+        self.drivers[n] = self.driver(n, self.drivers.len(), clock, life);
+    }
+
+    pub fn give(&mut self, n: usize, input: Input) {
+        let now = self.local(n);
+        let outputs = self.drivers[n].engine.take(now, input);
+        self.sort(n, outputs);
+    }
+
+    pub fn observe(&mut self, n: usize, fact: Fact) {
+        self.give(n, Input::Observed(vec![(fact, Span(0))]));
+    }
+
+    fn sort(&mut self, n: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            let Output::Send { to, bytes } = output else {
+                self.drivers[n].outputs.push(output);
+                continue;
+            };
+            // Peers are all others in their order.
+            let to = if to >= n { to + 1 } else { to };
+            let permille = |chance: &mut fastrand::Rng, of: u32| chance.u32(0..1000) < of;
+            if self.cut.contains(&(n, to)) || permille(&mut self.chance, self.link.lost) {
+                continue;
+            }
+            let copies = 1 + u32::from(permille(&mut self.chance, self.link.doubled));
+            for _ in 0..copies {
+                let mut bytes = bytes.clone();
+                if permille(&mut self.chance, self.link.garbled) {
+                    let at = self.chance.usize(0..bytes.len());
+                    bytes[at] ^= 1 << self.chance.u8(0..8);
+                }
+                self.count += 1;
+                let delay = self.link.delay * (0.5 + self.chance.f64());
+                self.flying.insert((self.now + delay, self.count), (n, to, bytes));
+            }
+        }
+    }
+
+    fn arrive(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        if !self.drivers[to].is_up {
+            return;
+        }
+        if self.drivers[to].paused {
+            self.drivers[to].unread.push((from, bytes));
+            return;
+        }
+        let peer = if from > to { from - 1 } else { from };
+        self.give(
+            to,
+            Input::Datagram {
+                from: peer,
+                bytes: &bytes,
+            },
+        );
+    }
+
+    pub fn go_on(&mut self, n: usize) {
+        self.drivers[n].paused = false;
+        for (from, bytes) in std::mem::take(&mut self.drivers[n].unread) {
+            self.arrive(from, n, bytes);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        loop {
+            let flight = self.flying.first_key_value().map(|((at, _), _)| *at);
+            let runs = |d: &&Driver| d.is_up && !d.paused;
+            let timers = self.drivers.iter().filter(runs).map(|d| {
+                let at = d.engine.next_at().0 as i64 - d.clock;
+                Point(at.max(0) as u64)
+            });
+            let next = timers.chain(flight).min().unwrap_or(end).max(self.now);
+            if next > end {
+                self.now = end;
+                return;
+            }
+            self.now = next;
+            while let Some(entry) = self.flying.first_entry().filter(|e| e.key().0 <= self.now) {
+                let (from, to, bytes) = entry.remove();
+                self.arrive(from, to, bytes);
+            }
+            for n in 0..self.drivers.len() {
+                let d = &self.drivers[n];
+                if d.is_up && !d.paused && d.engine.next_at() <= self.local(n) {
+                    self.give(n, Input::Time);
+                }
+            }
+        }
+    }
+
+    pub fn up(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.drivers.len()).filter(|n| self.drivers[*n].is_up)
+    }
+
+    /// Whether all copies hold the same.
+    pub fn equal(&self) -> bool {
+        let mut copies = self.up().map(|n| self.contents(n));
+        let first = copies.next();
+        copies.all(|c| Some(c) == first)
+    }
+
+    pub fn contents(&self, n: usize) -> Vec<Fact> {
+        let book = &self.drivers[n].engine.book;
+        // What drivers say of themselves changes as they find each other.
+        book.all()
+            .map(|e| e.fact.clone())
+            .filter(|f| !matches!(f, Fact::Driver { .. }))
+            .collect()
+    }
+
+    /// Runs until all copies are equal; how long that took.
+    pub fn settle(&mut self, most: Span) -> Option<Span> {
+        let began = self.now;
+        while self.now - began <= most {
+            if self.equal() {
+                return Some(self.now - began);
+            }
+            self.run(Span::millis(50));
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/shared/tests/fleet.rs
@@ -0,0 +1,308 @@
+//! Several drivers' engines over links that fail: what becomes of facts and of who is there.
+
+mod common;
+use asterlatch::time::Span;
+use asterlatch_shared::engine::{Input, Output};
+use asterlatch_shared::fact::{Fact, Standing};
+use asterlatch_shared::peers::Presence;
+use asterlatch_shared::quarrel;
+use asterlatch_shared::wire;
+use common::*;
+
+fn seconds(s: u64) -> Span {
+    Span::millis(s * 1000)
+}
+
+/// All find each other, and say that they have caught up.
+fn begun(count: usize, seed: u64) -> Net {
+    let mut net = Net::new(count, seed);
+    net.run(seconds(8));
+    for n in net.up() {
+        assert_eq!(
+            net.drivers[n].engine.peers.there().count(),
+            count - 1,
+            "driver {n}"
+        );
+        assert!(!net.drivers[n].engine.catchup.is_behind(), "driver {n}");
+    }
+    net
+}
+
+#[test]
+fn what_one_hears_all_know_within_a_second_whatever_their_clocks_say() {
+    let mut net = begun(5, 1);
+    net.observe(0, drain("m1", 3, Standing::Draining));
+    net.observe(3, member("m2", 77, 77, 0));
+    let took = net.settle(seconds(5)).expect("copies are equal");
+    assert!(took <= seconds(1), "{took:?}");
+    for n in 1..3 {
+        let news = net.drivers[n].outputs.iter();
+        let news = news.filter(|o| matches!(o, Output::News(Fact::Drain { .. }, _)));
+        assert_eq!(news.count(), 1, "it is told once");
+    }
+}
+
+#[test]
+fn links_that_lose_repeat_and_garble_only_delay() {
+    for seed in 1..6 {
+        let mut net = Net::new(6, seed);
+        net.link = Link {
+            delay: Span::millis(30),
+            lost: 300,
+            doubled: 100,
+            garbled: 50,
+        };
+        net.run(seconds(15));
+        for n in 0..6 {
+            for m in 0..50 {
+                net.observe(n, member(&format!("m{m}"), 10 * (n as u64 + 1) + m, 0, 5));
+            }
+        }
+        let took = net.settle(seconds(60)).expect("copies are equal");
+        assert!(took < seconds(30), "seed {seed}: {took:?}");
+        let garbled: u64 = net.drivers.iter().map(|d| d.engine.counts.garbled).sum();
+        assert!(garbled > 0, "or this proves nothing");
+    }
+}
+
+#[test]
+fn a_split_heals_and_both_sides_hold_what_either_heard() {
+    let mut net = begun(5, 3);
+    let sides = [vec![0, 1], vec![2, 3, 4]];
+    for a in &sides[0] {
+        for b in &sides[1] {
+            net.cut.extend([(*a, *b), (*b, *a)]);
+        }
+    }
+    net.run(seconds(8));
+    assert_eq!(net.drivers[0].engine.peers.there().count(), 1);
+    assert_eq!(net.drivers[4].engine.peers.there().count(), 2);
+    net.observe(1, drain("m1", 9, Standing::Draining));
+    net.observe(4, member("m2", 500, 500, 0));
+    net.run(seconds(3));
+    assert!(!net.equal());
+    net.cut.clear();
+    let took = net.settle(seconds(20)).expect("copies are equal");
+    assert!(took < seconds(8), "{took:?}");
+    net.run(seconds(8));
+    assert_eq!(
+        net.drivers[0].engine.peers.there().count(),
+        4,
+        "all see each other again"
+    );
+}
+
+/// A link that lets word through one way only: others ask on the cut one's behalf, and nobody is lost.
+#[test]
+fn a_link_cut_one_way_costs_nobody_its_place() {
+    let mut net = begun(5, 4);
+    net.cut.insert((0, 1));
+    net.run(seconds(10));
+    for n in 0..5 {
+        let there = net.drivers[n].engine.peers.there().count();
+        assert_eq!(there, 4, "driver {n}");
+    }
+    net.observe(0, drain("m1", 3, Standing::Draining));
+    assert!(net.settle(seconds(5)).is_some(), "word goes round by the others");
+}
+
+#[test]
+fn one_that_was_paused_says_that_it_is_behind_until_it_has_caught_up() {
+    let mut net = begun(4, 5);
+    net.drivers[2].paused = true;
+    net.run(seconds(2));
+    net.observe(0, drain("m1", 3, Standing::Draining));
+    net.run(seconds(28));
+    let gone = |net: &Net, n: usize| {
+        net.drivers[n]
+            .engine
+            .peers
+            .all()
+            .iter()
+            .filter(|p| p.presence == Presence::Gone)
+            .count()
+    };
+    assert_eq!(gone(&net, 0), 1);
+    net.drivers[2].outputs.clear();
+    net.go_on(2);
+    assert!(net.drivers[2].outputs.contains(&Output::CaughtUp(false)));
+    assert!(net.drivers[2].engine.catchup.is_behind());
+    net.run(seconds(12));
+    assert!(!net.drivers[2].engine.catchup.is_behind());
+    assert!(net.equal());
+    assert_eq!(gone(&net, 0), 0, "it is back");
+}
+
+/// What lay unread while a driver was stopped is as old as that, though its sender called it new.
+#[test]
+fn what_lay_unread_is_not_taken_for_new() {
+    let mut net = begun(3, 6);
+    net.drivers[2].paused = true;
+    net.observe(0, session(9, 5));
+    net.run(seconds(25));
+    net.go_on(2);
+    let now = net.local(2);
+    let entry = net.drivers[2].engine.book.get(&session(9, 5).key());
+    let age = now - entry.expect("was told").told;
+    assert!(age > seconds(24), "{age:?}");
+}
+
+/// A machine whose clock is set back over a restart: its driver's new life is below the one that others know.
+#[test]
+fn a_driver_whose_clock_went_back_is_taken_for_itself_anew() {
+    let mut net = begun(4, 7);
+    net.observe(3, drain("m1", 3, Standing::Draining));
+    net.run(seconds(3));
+    net.drivers[1].is_up = false;
+    net.run(seconds(6));
+    net.restart(1, -999_000_000, 1);
+    net.run(seconds(12));
+    assert!(net.drivers[1].engine.peers.own().life > 100);
+    assert_eq!(net.drivers[0].engine.peers.there().count(), 3);
+    assert!(net.equal(), "it holds what was told before");
+    assert!(!net.drivers[1].engine.catchup.is_behind());
+}
+
+#[test]
+fn a_name_that_is_not_its_addresss_is_refused_and_told() {
+    let mut net = begun(3, 8);
+    let head = wire::Head {
+        name: name(2),
+        life: 7,
+        sent: net.local(0),
+        knows_you: 0,
+        caught_up: true,
+    };
+    let fact = wire::Item::Fact(drain("m9", 9, Standing::Gone), Span(0)).bytes();
+    let bytes = wire::datagram("test", &head, &[fact]);
+    // From the address of d1.
+    net.give(
+        0,
+        Input::Datagram {
+            from: 0,
+            bytes: &bytes,
+        },
+    );
+    let d = &net.drivers[0];
+    assert!(d.engine.book.get(&drain("m9", 9, Standing::Gone).key()).is_none());
+    let kinds: Vec<_> = d.engine.book.quarrels.all().map(|q| q.kind).collect();
+    assert_eq!(kinds, [quarrel::Kind::Foreign]);
+    assert!(d
+        .outputs
+        .iter()
+        .any(|o| matches!(o, Output::CutOff { peer: 0, .. })));
+    // Another fleet's are nothing at all, and so is what is garbled.
+    let before = net.drivers[0].engine.counts.garbled;
+    let other = wire::datagram("elsewhere", &head, &[]);
+    for bytes in [&other[..], &bytes[..bytes.len() - 1], &[], &[1, 2, 3]] {
+        net.give(0, Input::Datagram { from: 0, bytes });
+    }
+    assert_eq!(net.drivers[0].engine.counts.garbled - before, 4);
+}
+
+#[test]
+fn a_mad_peer_is_cut_off_and_others_are_heard_on() {
+    let mut net = begun(3, 9);
+    let head = wire::Head {
+        name: name(1),
+        life: 100,
+        sent: net.local(0),
+        knows_you: 0,
+        caught_up: true,
+    };
+    for n in 0..3000u64 {
+        let items: Vec<_> = (0..30)
+            .map(|m| wire::Item::Fact(session(n * 100 + m + 1, 5), Span(0)).bytes())
+            .collect();
+        let bytes = wire::datagram("test", &head, &items);
+        net.give(
+            0,
+            Input::Datagram {
+                from: 0,
+                bytes: &bytes,
+            },
+        );
+    }
+    let d = &net.drivers[0];
+    assert!(d
+        .outputs
+        .iter()
+        .any(|o| matches!(o, Output::CutOff { peer: 0, .. })));
+    assert!(d.engine.counts.passed_over > 1000);
+    net.observe(2, drain("m1", 3, Standing::Draining));
+    net.run(seconds(2));
+    let known = net.drivers[0]
+        .engine
+        .book
+        .get(&drain("m1", 3, Standing::Draining).key());
+    assert!(known.is_some(), "the others are heard");
+}
+
+/// The rate holds whatever there is to tell: a copy of many facts takes its time.
+#[test]
+fn who_catches_up_is_sent_no_more_than_the_rate_lets() {
+    const RATE: u64 = 16 * 1024;
+    let slow = |n, all| asterlatch_shared::engine::Settings {
+        rate: RATE,
+        ..settings(n, all)
+    };
+    let mut net = Net::with(3, 10, slow);
+    net.run(seconds(8));
+    net.drivers[2].is_up = false;
+    net.run(seconds(6));
+    for n in 0..4000 {
+        net.observe(0, member(&format!("m{n}"), n, 0, 5));
+    }
+    net.run(seconds(10));
+    net.restart(2, 0, 200);
+    let before = net.drivers[0].engine.counts.bytes_sent;
+    net.run(seconds(3));
+    let sent = net.drivers[0].engine.counts.bytes_sent - before;
+    // A second's worth is saved up.
+    let most = 4 * RATE * 21 / 20;
+    assert!(sent <= most && sent > most / 2, "{sent} of {most}");
+    // A round that breaks off is resumed by the next: what came stays.
+    let half = net.drivers[2].engine.book.len();
+    assert!(half > 200 && half < 3000, "{half}");
+    assert!(net.drivers[2].engine.catchup.is_behind());
+    net.cut.extend([(0, 2), (1, 2)]);
+    net.run(seconds(5));
+    net.cut.clear();
+    net.run(seconds(6));
+    let more = net.drivers[2].engine.book.len();
+    assert!(more > half, "{half} {more}");
+    assert!(net.settle(seconds(60)).is_some());
+}
+
+/// An id is asked of all, again where an answer is lost; whoever has answered is asked no more.
+#[test]
+fn questions_reach_all_and_are_repeated_to_the_silent() {
+    use asterlatch_shared::doubts::Known;
+    let mut net = begun(4, 11);
+    net.cut.insert((0, 2));
+    let question = wire::Question { id: 77, turn: 1 };
+    for d in &mut net.drivers {
+        d.outputs.clear();
+    }
+    net.give(0, Input::Ask(question));
+    net.run(Span::millis(20));
+    let asked = |net: &Net, n: usize| {
+        let all = net.drivers[n].outputs.iter();
+        all.filter(|o| matches!(o, Output::Question { .. })).count()
+    };
+    assert_eq!([asked(&net, 1), asked(&net, 2), asked(&net, 3)], [1, 0, 1]);
+    for n in [1, 3] {
+        let to = 0;
+        let known = Known::Untouched;
+        net.give(n, Input::Answer { to, question, known });
+    }
+    net.run(Span::millis(10));
+    net.cut.clear();
+    net.run(Span::millis(40));
+    assert_eq!([asked(&net, 1), asked(&net, 2), asked(&net, 3)], [1, 1, 1]);
+    let answers = net.drivers[0].outputs.iter();
+    let answers = answers.filter(|o| matches!(o, Output::Answered { .. }));
+    assert_eq!(answers.count(), 2);
+    net.run(seconds(1));
+    assert!(asked(&net, 2) <= 3, "not for ever");
+}
