--- a/crates/config/src/host.rs
+++ b/crates/config/src/host.rs
@@ -38,9 +38,10 @@
 const BOUNDS: Option<Rule> = Some(Rule::Bounds);
 const ANSWER: Option<Rule> = Some(Rule::OneAnswer);
 const DRAINS: Option<Rule> = Some(Rule::DrainsKept);
+const TWICE: Option<Rule> = Some(Rule::NoEffectTwice);
 
 #[rustfmt::skip]
-pub const SECTIONS: [Section; 12] = [
+pub const SECTIONS: [Section; 14] = [
     Section { name: "descriptors", key: None, says: "How the descriptors of the process are shared out.", rows: rows! {
         "reserve": "8" to "65536" = "48", Live, BOUNDS, [Places, Descriptors],
             "kept for what is neither a client's nor a member's";
@@ -132,6 +133,36 @@
         "silence": "10ms" to "10min" = "5s", Live, ANSWER, [],
             "without one for this long it is killed and the former process serves on";
     } },
+    Section { name: "shared", key: None, says: "What drivers of one fleet tell each other. Nothing is told or heard while \
+`port` is 0.", rows: rows! {
+        "port": "0" to "65535" = "0", NextStart, NONE, [],
+            "where other drivers' datagrams come in (UDP), at the address that clients come to";
+        "tick": "10ms" to "10s" = "100ms", NextStart, NONE, [],
+            "between two tellings of what is new";
+        "fanout": "1" to "16" = "3", NextStart, NONE, [],
+            "drivers that are told at each tick, chosen by chance";
+        "compare": "100ms" to "1min" = "1s", NextStart, NONE, [],
+            "between two comparings of copies with another driver";
+        "rate": "4KiB" to "64MiB" = "256KiB", NextStart, BOUNDS, [],
+            "sent in a second at most, to all others together";
+        "probe": "50ms" to "1min" = "500ms", NextStart, NONE, [],
+            "one of the others is asked this often whether it lives";
+        "suspicion": "100ms" to "10min" = "2s", NextStart, NONE, [],
+            "a driver that doesn't answer is suspected first, and gone after this";
+        "ask": "5ms" to "5s" = "100ms", NextStart, ANSWER, [],
+            "how long the others' word on a repeated statement is waited for, and never over 0.3 of its time";
+        "window": "1s" to "1h" = "30s", NextStart, TWICE, [],
+            "how long after its first sending a client may repeat a statement";
+        "ids": "1000" to "1000000" = "65536", NextStart, TWICE, [],
+            "statements whose sending is remembered for that; beyond it repeats are in doubt";
+    } },
+    Section { name: "driver", key: Some("name@address"), says: "Another driver of the fleet, by the name in its \
+configuration and its IP address. Datagrams from elsewhere are passed over.", rows: rows! {
+        "port": "1" to "65535" = "", NextStart, NONE, [],
+            "its `shared.port`; as here where nothing is said";
+        "asked": "0" to "1" = "", NextStart, TWICE, [],
+            "0 for one that is gone for good and has run nothing within `shared.window`: its word is not waited for; 1 where nothing is said";
+    } },
     Section { name: "activation", key: None, says: "How a changed file is put in force and gone back from. The \
 figures in force before the change judge it.", rows: rows! {
         "probation": "0s" to "1h" = "30s", Live, NONE, [],
@@ -145,7 +176,9 @@
     } },
 ];
 
-pub const CHECKS: [Check; 8] = [
+pub const CHECKS: [Check; 10] = [
+    others,
+    suspicions,
     beats,
     memory_parts,
     rooms,
@@ -340,3 +373,81 @@
             .to_owned()
     })
 }
+
+/// Another driver as the file names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Other {
+    pub name: String,
+    pub address: std::net::SocketAddr,
+    /// Its word on statements is waited for.
+    pub asked: bool,
+}
+
+/// The others, in the order of their names; a key that can't be read has no entry.
+pub fn drivers(r: &Registry, m: &Meaning) -> Vec<Other> {
+    let own = m.amount(r, "shared", "port");
+    let row = |name| r.find("driver", name).map_or(0, |(_, row)| row);
+    let (port, asked) = (row("port"), row("asked"));
+    let read = |(key, amounts): (&str, &[Option<Quantity>])| {
+        let amount = |row: usize, absent| {
+            amounts
+                .get(row)
+                .and_then(|a| a.as_ref())
+                .map_or(absent, |q| q.amount)
+        };
+        let (name, ip) = key.split_once('@')?;
+        let ip: std::net::IpAddr = ip.parse().ok()?;
+        let port = u16::try_from(amount(port, own)).ok()?;
+        (!name.is_empty()).then(|| Other {
+            name: name.to_owned(),
+            address: (ip, port).into(),
+            asked: amount(asked, 1) != 0,
+        })
+    };
+    m.entries(r, "driver").filter_map(read).collect()
+}
+
+/// Each of the others has one name and one address, and there is a port to hear them at.
+fn others(r: &Registry, m: &Meaning, _: Machine) -> Vec<Conflict> {
+    let Some((section, row)) = r.find("driver", "port") else {
+        return Vec::new();
+    };
+    let own = m.amount(r, "shared", "port");
+    let all = drivers(r, m);
+    let mut found = Vec::new();
+    for (key, _) in m.entries(r, "driver") {
+        let name = key.split_once('@').map_or("", |(name, _)| name);
+        let here = all
+            .iter()
+            .find(|o| o.name == name && key.ends_with(&format!("@{}", o.address.ip())));
+        let reason = match here {
+            _ if own == 0 => {
+                "another driver is named, and 'shared.port' is 0: nothing is told or heard".to_owned()
+            }
+            None => format!("'{key}' is no name and IP address, as in \"b@10.0.0.2\""),
+            Some(one) => {
+                let same = |o: &&Other| o.name == one.name || o.address == one.address;
+                match all.iter().filter(same).count() {
+                    0 | 1 => continue,
+                    _ => format!("'{key}' has the name or the address of another one"),
+                }
+            }
+        };
+        let key = Some(key.into());
+        found.push(Conflict {
+            paths: vec![path(r, "shared", "port"), Path { section, key, row }],
+            reason,
+            warning: false,
+        });
+    }
+    found
+}
+
+/// A sign of life that is lost once must not cost a driver its place.
+fn suspicions(r: &Registry, m: &Meaning, _: Machine) -> Vec<Conflict> {
+    let (probe, suspicion) = (m.amount(r, "shared", "probe"), m.amount(r, "shared", "suspicion"));
+    let rows = [("shared", "probe"), ("shared", "suspicion")];
+    conflict(r, suspicion < probe.saturating_mul(2), &rows, || {
+        "'suspicion' is under two probes: a driver that is asked once in vain would be gone".to_owned()
+    })
+}
--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -2,7 +2,7 @@
 
 use asterlatch_driver::program::config::{self, Config};
 use asterlatch_driver::program::log::{self, Format};
-use asterlatch_driver::program::{commands, operators, serve, upgrade};
+use asterlatch_driver::program::{commands, operators, serve, sharing, upgrade};
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -69,6 +69,17 @@
         #[arg(long)]
         to: PathBuf,
     },
+    /// Show what a running service shares with other drivers, and who of them is there
+    Fleet {
+        #[arg(value_enum)]
+        what: sharing::What,
+        /// The running service's socket
+        #[arg(long, env = "ASTERLATCH_CONTROL")]
+        control: PathBuf,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Print the version
     Version,
 }
@@ -102,6 +113,11 @@
             Ok(false) => return ExitCode::FAILURE,
             Err(fault) => Err(fault),
         },
+        Command::Fleet { what, control, json } => match sharing::request(&control, what, json) {
+            Ok(true) => Ok(()),
+            Ok(false) => return ExitCode::FAILURE,
+            Err(fault) => Err(fault),
+        },
         Command::Version => {
             println!("asterlatch {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/driver/src/program/mod.rs
+++ b/crates/driver/src/program/mod.rs
@@ -8,5 +8,6 @@
 pub mod operators;
 pub mod phases;
 pub mod serve;
+pub mod sharing;
 pub mod signals;
 pub mod upgrade;
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -5,6 +5,7 @@
 use super::log::{log, Log};
 use super::operators::{self, InForce, Operators};
 use super::phases::{Phase, Phases, Seen};
+use super::sharing::{self, Shares};
 use super::signals;
 use super::upgrade::{self, Takeover, Upgrades};
 use crate::protocol::execution::Executions;
@@ -96,10 +97,21 @@
     }
     let (tell_asks, asks) = channel();
     let mut upgrades = Upgrades::new(config.settings_text, to_takeover.clone(), asks);
-    // While it may have to serve on, the former process keeps its own name.
-    let mut control = control.map(|path| move || upgrade::control(path, to_takeover, tell_asks));
-    if let Some(control) = control.take_if(|_| takeover.is_none()) {
-        control()?;
+    // While it may have to serve on, the former process keeps its own name, and its place among the others.
+    let shares = Shares::of(&start.meaning);
+    let to_sharing = to_takeover.clone();
+    let begin_sharing = |owner: &mut Owner<Log>| -> Result<Option<sharing::Line>, String> {
+        let Some(shares) = &shares else { return Ok(None) };
+        let (shared, line) = sharing::start(shares, &config, clock, to_sharing.clone())?;
+        owner.join(shared);
+        Ok(Some(line))
+    };
+    let mut control = control.map(|path| move |line| upgrade::control(path, to_takeover, tell_asks, line));
+    if takeover.is_none() {
+        let line = begin_sharing(&mut owner)?;
+        if let Some(control) = control.take() {
+            control(line)?;
+        }
     }
     let listening =
         listener::listen::<_, Input>(listener, takeover.is_some(), queue, (clock, clients), session);
@@ -146,7 +158,11 @@
             t.steer(owner, now);
         }
         if takeover.take_if(|t| t.is_over()).is_some() {
-            if let Some(Err(fault)) = control.take().map(|control| control()) {
+            let line = begin_sharing(owner).unwrap_or_else(|fault| {
+                log!(owner.observer, now, "fleet", "nothing is shared: {fault}");
+                None
+            });
+            if let Some(Err(fault)) = control.take().map(|control| control(line)) {
                 log!(
                     owner.observer,
                     now,
@@ -175,7 +191,10 @@
             );
             match phase {
                 Phase::Draining { .. } => owner.send_clients_away(),
-                Phase::Stopped => return None,
+                Phase::Stopped => {
+                    owner.leave_the_others();
+                    return None;
+                }
                 _ => {}
             }
         }
--- /dev/null
+++ b/crates/driver/src/program/sharing.rs
@@ -0,0 +1,431 @@
+//! The thread that speaks with other drivers: carries datagrams to the engine of `asterlatch-shared` and out of it, and its
+//! news to the owner. It keeps no statement waiting: the owner speaks to it by words, and hears by its own queue.
+
+use crate::program::config::Config;
+use crate::program::operators::registry;
+use crate::routing::queue::Input as OwnersInput;
+use crate::routing::sharing::{Sharing, Terms, Word};
+use crate::transport::clock::Clock;
+use crate::transport::datagrams::{Came, Datagrams, Waker};
+use asterlatch::time::{Point, Span};
+use asterlatch_config::host::{drivers, Other};
+use asterlatch_config::meaning::{hash, Meaning};
+use asterlatch_shared::book::Book;
+use asterlatch_shared::engine::{shown, Engine, Input, Output, Settings};
+use asterlatch_shared::fact::Fact;
+use asterlatch_shared::peers::Times;
+use serde_json::{json, Value};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+/// How the operators set it; nothing where nothing is shared.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shares {
+    port: u16,
+    others: Vec<Other>,
+    settings: Settings,
+    terms: Terms,
+    /// Of the operators' file.
+    file: u64,
+}
+
+impl Shares {
+    pub fn of(meaning: &Meaning) -> Option<Shares> {
+        let amount = |row| meaning.amount(registry(), "shared", row).max(0);
+        let span = |row| Span(amount(row) as u64);
+        let port = u16::try_from(amount("port")).ok().filter(|p| *p > 0)?;
+        let others = drivers(registry(), meaning);
+        let canonical = hash(&meaning.canonical(registry()));
+        let settings = Settings {
+            fleet: String::new(),
+            name: String::new(),
+            peers: others.iter().map(|o| o.name.clone()).collect(),
+            tick: span("tick"),
+            fanout: amount("fanout") as usize,
+            compare: span("compare"),
+            rate: amount("rate") as u64,
+            times: Times {
+                probe: span("probe"),
+                suspicion: span("suspicion"),
+            },
+            ask: span("ask"),
+        };
+        let terms = Terms {
+            tick: span("tick"),
+            ask: span("ask"),
+            window: span("window"),
+            most: amount("ids") as usize,
+        };
+        Some(Shares {
+            port,
+            others,
+            settings,
+            terms,
+            file: u64::from_str_radix(canonical.get(..16).unwrap_or_default(), 16).unwrap_or(0),
+        })
+    }
+}
+
+/// What an operator asks: the answer goes to the socket.
+pub struct Show {
+    pub what: What,
+    pub json: bool,
+    pub reply: UnixStream,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum What {
+    /// Who of the fleet is there, and how this driver stands
+    Status,
+    /// All that is shared, as this driver holds it
+    Facts,
+    /// What can't both be true
+    Differences,
+}
+
+impl What {
+    pub fn name(self) -> &'static str {
+        match self {
+            What::Status => "status",
+            What::Facts => "facts",
+            What::Differences => "differences",
+        }
+    }
+
+    pub fn named(name: &str) -> Option<What> {
+        [What::Status, What::Facts, What::Differences]
+            .into_iter()
+            .find(|w| w.name() == name)
+    }
+}
+
+enum ToEngine {
+    Word(Word),
+    Show(Show),
+}
+
+/// By which others reach the engine's thread.
+#[derive(Clone)]
+pub struct Line {
+    words: Sender<ToEngine>,
+    waker: Waker,
+}
+
+impl Line {
+    pub fn show(&self, show: Show) {
+        // One that is gone drops the socket, which its asker sees.
+        let _ = self.words.send(ToEngine::Show(show));
+        self.waker.wake();
+    }
+
+    fn tell(&self, word: Word) {
+        let _ = self.words.send(ToEngine::Word(word));
+        self.waker.wake();
+    }
+}
+
+/// Begins to share. What can't be bound is an error, for operators asked for it.
+pub fn start(
+    shares: &Shares,
+    config: &Config,
+    clock: Clock,
+    queue: Sender<OwnersInput>,
+) -> Result<(Sharing, Line), String> {
+    let address = SocketAddr::new(config.listen.ip(), shares.port);
+    let addresses = shares.others.iter().map(|o| o.address).collect();
+    let datagrams =
+        Datagrams::bind(address, addresses).map_err(|e| format!("shared.port: {address}: {e}"))?;
+    let settings = Settings {
+        // Drivers of other deployments, or with other settings, have nothing to tell this one.
+        fleet: format!("{:016x}", config.settings_text),
+        name: config.name.clone(),
+        ..shares.settings.clone()
+    };
+    let now = clock.now();
+    let engine = Engine::new(settings, now.0, config.seed ^ now.0, now);
+    let (words, inbox) = channel();
+    let line = Line {
+        words,
+        waker: datagrams.waker(),
+    };
+    let teller = line.clone();
+    let peers = shares.others.iter().enumerate().filter(|(_, o)| o.asked);
+    let sharing = Sharing::new(
+        now,
+        shares.terms,
+        peers.map(|(n, _)| n).collect(),
+        shares.settings.peers.clone(),
+        Box::new(move |word| teller.tell(word)),
+    );
+    let running = Running {
+        engine,
+        datagrams,
+        inbox,
+        queue,
+        clock,
+        file: shares.file,
+        list: 0,
+        foreign: 0,
+        failed: 0,
+    };
+    let thread = std::thread::Builder::new().name("sharing".to_owned());
+    let spawned = thread.spawn(move || running.run());
+    spawned.map_err(|e| format!("shared: {e}"))?;
+    Ok((sharing, line))
+}
+
+struct Running {
+    engine: Engine,
+    datagrams: Datagrams,
+    inbox: Receiver<ToEngine>,
+    queue: Sender<OwnersInput>,
+    clock: Clock,
+    file: u64,
+    list: u64,
+    /// Datagrams from nobody who may speak here, and such that couldn't be sent.
+    foreign: u64,
+    failed: u64,
+}
+
+/// The longest sleep: a clock that is set can't hold the thread up for ever.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+
+impl Running {
+    fn run(mut self) {
+        self.describe();
+        loop {
+            let now = self.clock.now();
+            let wait = Duration::from_micros((self.engine.next_at() - now).0).min(LONGEST_WAIT);
+            let outputs = match self.datagrams.next(wait) {
+                Ok(Came::From(from, bytes)) => {
+                    let now = self.clock.now();
+                    self.engine.take(now, Input::Datagram { from, bytes })
+                }
+                Ok(Came::Foreign(_)) => {
+                    self.foreign += 1;
+                    Vec::new()
+                }
+                Ok(Came::Woken) => Vec::new(),
+                Ok(Came::Nothing) => self.engine.take(self.clock.now(), Input::Time),
+                // Without a socket nothing more comes; what the owner does goes on.
+                Err(_) => return,
+            };
+            if !self.carry_out(outputs) {
+                return;
+            }
+            while let Ok(word) = self.inbox.try_recv() {
+                let leaves = matches!(word, ToEngine::Word(Word::Leave));
+                let outputs = self.word(word);
+                if !self.carry_out(outputs) || leaves {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn describe(&mut self) {
+        let outputs = self.engine.describe(self.clock.now(), self.list, self.file);
+        self.carry_out(outputs);
+    }
+
+    fn word(&mut self, word: ToEngine) -> Vec<Output> {
+        let now = self.clock.now();
+        let input = match word {
+            ToEngine::Show(show) => {
+                self.show(now, show);
+                return Vec::new();
+            }
+            ToEngine::Word(Word::Observed(facts)) => Input::Observed(facts),
+            ToEngine::Word(Word::Ask(question)) => Input::Ask(question),
+            ToEngine::Word(Word::Asked(question)) => Input::Asked(question),
+            ToEngine::Word(Word::Answer { to, question, known }) => Input::Answer { to, question, known },
+            ToEngine::Word(Word::List(list)) => {
+                self.list = list;
+                return self.engine.describe(now, list, self.file);
+            }
+            ToEngine::Word(Word::Leave) => Input::Leave,
+        };
+        self.engine.take(now, input)
+    }
+
+    /// Whether the owner is still there.
+    fn carry_out(&mut self, outputs: Vec<Output>) -> bool {
+        let mut described = false;
+        for output in outputs {
+            match output {
+                Output::Send { to, bytes } => self.failed += u64::from(!self.datagrams.send(to, &bytes)),
+                news => {
+                    described |= matches!(news, Output::CaughtUp(_));
+                    if self.queue.send(OwnersInput::Peers(news)).is_err() {
+                        return false;
+                    }
+                }
+            }
+        }
+        if described {
+            self.describe();
+        }
+        true
+    }
+
+    fn show(&self, now: Point, show: Show) {
+        let value = match show.what {
+            What::Status => self.status(now),
+            What::Facts => self.facts(now),
+            What::Differences => self.differences(now),
+        };
+        let text = match show.json {
+            true => serde_json::to_string_pretty(&value).unwrap_or_default() + "\n",
+            false => table(&value),
+        };
+        // Who doesn't read holds this thread up for no more than a moment.
+        let mut reply = show.reply;
+        let _ = reply.set_write_timeout(Some(Duration::from_millis(200)));
+        let _ = reply.write_all(text.as_bytes());
+    }
+
+    fn status(&self, now: Point) -> Value {
+        let own = self.engine.peers.own();
+        let told = |name: &str| {
+            let of = self.engine.book.all().map(|e| &e.fact);
+            of.filter_map(|f| match f {
+                Fact::Driver {
+                    name: n, list, file, ..
+                } if n == name => Some((*list, format!("{file:016x}"))),
+                _ => None,
+            })
+            .next()
+        };
+        let row = |name: &str, presence: &str, life: u64, heard: Option<Span>, late: Span, whole: bool| {
+            let (list, file) = told(name).unzip();
+            json!({
+                "driver": name, "presence": presence, "life": life, "heard_ms_ago": heard.map(|h| h.0 / 1000),
+                "late_ms": late.0 / 1000, "caught_up": whole, "list": list, "file": file,
+            })
+        };
+        let is_whole = !self.engine.catchup.is_behind();
+        let mut rows = vec![row(&own.name, "this one", own.life, None, Span(0), is_whole)];
+        for p in self.engine.peers.all() {
+            let heard = p.heard.map(|at| now - at);
+            rows.push(row(
+                &p.name,
+                p.presence.name(),
+                p.life,
+                heard,
+                p.late,
+                p.caught_up,
+            ));
+        }
+        let c = &self.engine.counts;
+        json!({
+            "drivers": rows,
+            "counts": [{
+                "facts": self.engine.book.len(), "datagrams_sent": c.datagrams_sent, "bytes_sent": c.bytes_sent,
+                "datagrams_heard": c.datagrams_heard, "bytes_heard": c.bytes_heard, "garbled": c.garbled,
+                "unknown_version": c.unknown_version, "passed_over": c.passed_over, "foreign": self.foreign,
+                "not_sent": self.failed, "facts_told": c.facts_told, "facts_heard": c.facts_heard,
+                "facts_new": c.facts_new, "facts_refused": c.facts_refused, "rounds": c.rounds,
+            }],
+        })
+    }
+
+    fn facts(&self, now: Point) -> Value {
+        let all = shown(&self.engine.book, now);
+        let rows = all.into_iter().map(|(key, fact, age)| {
+            json!({ "kind": key.0.name(), "of": key.1, "told_ms_ago": age.0 / 1000, "says": says(&fact) })
+        });
+        let digests = Book::digests(&self.engine.book);
+        let mark = digests.iter().fold(0u64, |all, d| all.rotate_left(7) ^ d);
+        json!({ "facts": rows.collect::<Vec<_>>(), "copy": [{ "mark": format!("{mark:016x}") }] })
+    }
+
+    fn differences(&self, now: Point) -> Value {
+        let all = self.engine.book.quarrels.all();
+        let rows = all.map(|q| {
+            json!({
+                "what": q.kind.name(), "about": q.about, "one": q.sides.0, "other": q.sides.1,
+                "first_ms_ago": (now - q.first).0 / 1000, "last_ms_ago": (now - q.last).0 / 1000, "times": q.times,
+            })
+        });
+        json!({ "differences": rows.collect::<Vec<_>>() })
+    }
+}
+
+/// A fact's figures in words.
+fn says(fact: &Fact) -> String {
+    match fact {
+        Fact::Member {
+            started_ms,
+            group,
+            position,
+            primary_at,
+            replica_at,
+            ..
+        } => format!("group {group}, at {position}, primary at {primary_at}, replica at {replica_at}, started {started_ms}"),
+        Fact::Drain { list, standing, .. } => format!("{standing:?} by list {list}"),
+        Fact::Cold { work_us, .. } => format!("{work_us} us of work"),
+        Fact::Session { position, .. } => format!("written at {position}"),
+        Fact::Driver { life, list, file, caught_up, .. } => {
+            format!("life {life}, list {list}, file {file:016x}, caught up {caught_up}")
+        }
+    }
+}
+
+/// Each list of rows with its columns in one line each.
+fn table(value: &Value) -> String {
+    let mut text = String::new();
+    for (name, rows) in value.as_object().into_iter().flatten() {
+        let rows: Vec<_> = rows
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(Value::as_object)
+            .collect();
+        text += &format!("{name}: {}\n", rows.len());
+        let Some(first) = rows.first() else { continue };
+        let cell = |v: &Value| match v {
+            Value::String(s) => s.clone(),
+            Value::Null => "-".to_owned(),
+            v => v.to_string(),
+        };
+        let names: Vec<&String> = first.keys().collect();
+        let widths: Vec<usize> = names
+            .iter()
+            .map(|n| {
+                rows.iter()
+                    .map(|r| cell(&r[*n]).len())
+                    .chain([n.len()])
+                    .max()
+                    .unwrap_or(0)
+            })
+            .collect();
+        let mut line = |cells: Vec<String>| {
+            let padded: Vec<_> = cells
+                .iter()
+                .zip(&widths)
+                .map(|(c, w)| format!("{c:<w$}"))
+                .collect();
+            text += &format!("  {}\n", padded.join("  ").trim_end());
+        };
+        line(names.iter().map(|n| n.to_string()).collect());
+        for row in &rows {
+            line(names.iter().map(|n| cell(&row[*n])).collect());
+        }
+    }
+    text
+}
+
+/// Asks a running service; prints what it says.
+pub fn request(control: &std::path::Path, what: What, json: bool) -> Result<bool, String> {
+    let told = |e: std::io::Error| format!("{}: {e}", control.display());
+    let mut stream = UnixStream::connect(control).map_err(told)?;
+    let form = if json { "json" } else { "table" };
+    writeln!(stream, "fleet {} {form}", what.name()).map_err(told)?;
+    let mut text = String::new();
+    std::io::Read::read_to_string(&mut stream, &mut text).map_err(told)?;
+    print!("{text}");
+    Ok(!text.is_empty() && !text.starts_with("failed"))
+}
--- a/crates/driver/src/program/upgrade/control.rs
+++ b/crates/driver/src/program/upgrade/control.rs
@@ -1,5 +1,6 @@
-//! The socket at which upgrades are asked for, and the asking.
+//! The socket at which upgrades and the fleet's state are asked for.
 
+use crate::program::sharing::{Line, Show, What};
 use crate::routing::queue::{Input, Notice};
 use std::io::{self, BufRead, BufReader, Write};
 use std::os::unix::fs::PermissionsExt;
@@ -15,7 +16,12 @@
 }
 
 /// Listens for `asterlatch upgrade` at this path. Only who runs as this process's user may ask.
-pub fn control(path: &Path, queue: Sender<Input>, asks: Sender<Ask>) -> Result<(), String> {
+pub fn control(
+    path: &Path,
+    queue: Sender<Input>,
+    asks: Sender<Ask>,
+    fleet: Option<Line>,
+) -> Result<(), String> {
     let told = |e: io::Error| format!("{}: {e}", path.display());
     // What a former process left there, or still holds: its own stands without the name.
     match std::fs::remove_file(path) {
@@ -36,18 +42,25 @@
             let Ok(reader) = stream.try_clone() else { continue };
             let mut line = String::new();
             let read = BufReader::new(io::Read::take(reader, 4096)).read_line(&mut line);
-            let Some(binary) = line
-                .trim_end_matches('\n')
-                .strip_prefix("upgrade ")
-                .filter(|_| read.is_ok())
-            else {
+            if read.is_err() {
                 continue;
+            }
+            let line = line.trim_end_matches('\n');
+            let taken = match line.split_once(' ') {
+                Some(("upgrade", binary)) => {
+                    let ask = Ask {
+                        binary: PathBuf::from(binary),
+                        reply: stream,
+                    };
+                    asks.send(ask).is_ok() && queue.send(Input::Notice(Notice::Done)).is_ok()
+                }
+                Some(("fleet", wish)) => {
+                    show(wish, stream, fleet.as_ref());
+                    true
+                }
+                _ => true,
             };
-            let ask = Ask {
-                binary: PathBuf::from(binary),
-                reply: stream,
-            };
-            if asks.send(ask).is_err() || queue.send(Input::Notice(Notice::Done)).is_err() {
+            if !taken {
                 return;
             }
         }
@@ -56,6 +69,22 @@
     thread.spawn(take).map(drop).map_err(told)
 }
 
+/// `status table`, `facts json` and the like: answered by the thread that speaks with other drivers.
+fn show(wish: &str, mut reply: UnixStream, fleet: Option<&Line>) {
+    let (what, form) = wish.split_once(' ').unwrap_or((wish, "table"));
+    match (What::named(what), fleet) {
+        (Some(what), Some(fleet)) => {
+            let json = form == "json";
+            fleet.show(Show { what, json, reply });
+        }
+        (_, None) => drop(writeln!(
+            reply,
+            "failed: nothing is shared with other drivers: shared.port of the operators' file is 0"
+        )),
+        (None, _) => drop(writeln!(reply, "failed: '{what}' is not known here")),
+    }
+}
+
 /// Asks a running service for an upgrade, prints what becomes of it; whether it was done.
 pub fn request(control: &Path, binary: &Path) -> Result<bool, String> {
     let told = |e: io::Error| format!("{}: {e}", control.display());
--- a/crates/driver/src/program/upgrade/handover.rs
+++ b/crates/driver/src/program/upgrade/handover.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Of what is written out, beside the version of the takeover itself.
-const FORM: u32 = 1;
+const FORM: u32 = 2;
 
 /// What goes from one process to the next. Points in time count from the former one's clock, which goes along with the
 /// machine's: no reading of a wall clock is believed.
--- a/crates/driver/src/routing/endings.rs
+++ b/crates/driver/src/routing/endings.rs
@@ -28,6 +28,11 @@
     }
 }
 
+/// The same proof that the module goes by.
+pub fn never_ran(ending: Ending) -> bool {
+    asterlatch::choice::never_ran(ending)
+}
+
 pub fn count(figures: &mut Figures, ending: Ending) {
     *match ending {
         Ending::Completed => &mut figures.ended_completed,
--- a/crates/driver/src/routing/mod.rs
+++ b/crates/driver/src/routing/mod.rs
@@ -8,5 +8,6 @@
 pub mod limits;
 pub mod owner;
 pub mod queue;
+pub mod sharing;
 pub mod statements;
 pub mod tables;
--- /dev/null
+++ b/crates/driver/src/routing/owner/beside.rs
@@ -0,0 +1,147 @@
+//! What the owner does for another process that serves beside this one: tells what was learned, hands clients and
+//! connections over, takes them back, and holds to what binds both.
+
+use super::{Learned, Moved, Observer, Owner, ADOPTED};
+use crate::protocol::session::Say;
+use crate::protocol::vitals;
+use crate::routing::endings;
+use crate::routing::tables::Members;
+use crate::transport::listener::Arrival;
+use asterlatch::choice;
+use asterlatch::interface::{Answer, Settings};
+use asterlatch::time::{Point, Span};
+use asterlatch_takeover::joint::Word;
+use asterlatch_takeover::ledger::{Verdict, Verdicts};
+use std::collections::BTreeMap;
+use std::net::{TcpListener, TcpStream};
+
+impl<O: Observer> Owner<O> {
+    /// What was learned, as another process goes on from it.
+    pub fn learned(&self) -> Learned<'_> {
+        (&self.module, &self.members)
+    }
+
+    /// Goes on from what another process has learned of the same deployment.
+    pub fn resume(&mut self, now: Point, settings: &Settings, (module, members): (choice::Driver, Members)) {
+        self.module = choice::Driver::resume(module, settings, false, now);
+        self.members = members;
+        self.module_wakes = Some(now);
+    }
+
+    /// Another process begins to serve beside this one, or doesn't any more; it is the one that stays, or leaves.
+    pub fn share(&mut self, now: Point, is_shared: bool, leaves: bool) {
+        (self.is_shared, self.drains) = (is_shared, Vec::new());
+        self.clients.share(is_shared);
+        let results = self.module.beside(now, is_shared && leaves);
+        self.carry_out(now, results);
+        self.tell_ended(now);
+    }
+
+    /// Executions that are out, by member.
+    pub fn out(&self) -> BTreeMap<String, u32> {
+        let mut out = BTreeMap::new();
+        for name in self.errands.out().filter_map(|m| self.members.name(m)) {
+            *out.entry(name.to_owned()).or_default() += 1;
+        }
+        out
+    }
+
+    /// Takes over what binds both processes. A member that is not known here gets nothing from here.
+    pub fn bind(&mut self, now: Point, word: &Word) {
+        let results = match word {
+            Word::Open { member, count } => self
+                .members
+                .find(member)
+                .map(|m| self.module.open_elsewhere(now, m, *count as usize)),
+            Word::Drains { member, since_ms } => self.members.find(member).map(|m| {
+                self.errands.let_go(m);
+                self.figures.drains_from_beside += 1;
+                self.module.drain_told(now, m, vitals::unix(*since_ms))
+            }),
+            Word::Heard => None,
+        };
+        if let Some(results) = results {
+            self.carry_out(now, results);
+            self.tell_ended(now);
+        }
+    }
+
+    /// What is held now, for who asks whether another process has room beside this one.
+    pub fn held(&self) -> (usize, usize) {
+        (self.clients.count(), self.memory_taken())
+    }
+
+    /// A descriptor of the listener, for another process.
+    pub fn listener(&self) -> Option<TcpListener> {
+        self.listening.as_ref()?.descriptor().ok()
+    }
+
+    /// Leaves newcomers to another process that listens at the same socket, or takes them again.
+    pub fn pause(&mut self, paused: bool) {
+        self.listening.as_ref().inspect(|l| l.pause(paused));
+        if !paused && !self.draining {
+            self.clients.stay();
+        }
+    }
+
+    /// Has each client go to another process between two statements; those that do lie in `moved`.
+    pub fn hand_clients_over(&mut self) {
+        self.clients.hand_over();
+        self.errands.hand_over_idle();
+    }
+
+    /// Goes on with an idle connection to a member that is still known.
+    pub fn adopt_connection(&mut self, now: Point, member: u32, stream: TcpStream) {
+        let Some(address) = self.members.address(member) else {
+            return;
+        };
+        let adopt = &mut self.adopt_connection;
+        if self.errands.adopt(now, (member, address), |id| adopt(id, stream)) {
+            self.figures.connections_adopted += 1;
+        }
+    }
+
+    /// Goes on with a client that another process stood so with. Its number lies above those of who is accepted here.
+    pub fn adopt(&mut self, now: Point, moved: Moved) {
+        self.adopted = self.adopted.wrapping_add(1) | ADOPTED;
+        let id = self.adopted;
+        match (self.adopt)(id, moved.stream, moved.standing) {
+            Ok(line) => {
+                // Its news lie in the queue, and come behind this.
+                if moved.verdicts != Verdicts::default() {
+                    self.verdicts.insert(id, moved.verdicts);
+                }
+                self.arrived(now, Arrival::Client(id, line));
+                self.figures.clients_adopted += 1;
+                if moved.has_asked {
+                    self.clients.asked_before(id, now);
+                }
+            }
+            Err(e) => self.arrived(now, Arrival::Failed(e)),
+        }
+    }
+
+    /// Answers a statement that a process has read which died, as far as that is known; whether it did.
+    pub(super) fn judged(&mut self, client: u32, number: u32, end: u64) -> bool {
+        let Some(verdicts) = self.verdicts.get(&client) else {
+            return false;
+        };
+        let verdict = verdicts.of(end);
+        if verdicts.is_over(end) {
+            self.verdicts.remove(&client);
+        }
+        let (stmt, hold_off) = (0, Span(0));
+        let (count, answer) = match verdict {
+            Verdict::Open => return false,
+            Verdict::Rejected => (
+                &mut self.figures.taken_back_rejected,
+                Answer::Rejected { stmt, hold_off },
+            ),
+            Verdict::Aborted => (&mut self.figures.taken_back_aborted, Answer::Aborted { stmt }),
+        };
+        *count += 1;
+        let (_, told) = endings::of_answer(&answer);
+        self.clients.say(client, Say::Answer(number, told));
+        true
+    }
+}
--- a/crates/driver/src/routing/owner.rs
+++ b/crates/driver/src/routing/owner/mod.rs
@@ -1,18 +1,22 @@
 //! Holds the module and all tables. Each input is taken to its end before the next one; nothing here waits.
 
-use super::calls::{self, Calls};
-use super::clients::{Clients, Room};
-use super::endings;
-use super::errands::{self, Errand, Errands, Kind};
-use super::figures::Figures;
-use super::limits::{Limits, WorkloadLimits};
-use super::queue::{Input, Notice};
-use super::statements::Statements;
-use super::tables::{session, Members, Names};
+mod beside;
+mod sharing;
+
 use crate::protocol::comment::{self, Marked, Unreadable};
 use crate::protocol::roster::Roster;
 use crate::protocol::session::{Final, Say, Text};
 use crate::protocol::{execution, messages, session as client, vitals, watch};
+use crate::routing::calls::{self, Calls};
+use crate::routing::clients::{Clients, Room};
+use crate::routing::endings;
+use crate::routing::errands::{self, Errand, Errands, Kind};
+use crate::routing::figures::Figures;
+use crate::routing::limits::{Limits, WorkloadLimits};
+use crate::routing::queue::{Input, Notice};
+use crate::routing::sharing::Sharing;
+use crate::routing::statements::Statements;
+use crate::routing::tables::{session, Members, Names};
 use crate::transport::clock::Clock;
 use crate::transport::listener::{Arrival, Listening};
 use crate::transport::room::Room as Memory;
@@ -22,12 +26,11 @@
 use asterlatch::interface::*;
 use asterlatch::time::{Point, Span};
 use asterlatch_settings::Decoding;
-use asterlatch_takeover::joint::Word;
-use asterlatch_takeover::ledger::{Record, Verdict, Verdicts};
+use asterlatch_takeover::ledger::{Record, Verdicts};
 use asterlatch_takeover::message as moving;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::Duration;
 
@@ -168,6 +171,12 @@
     pub moved_connections: Vec<(u32, TcpStream)>,
     /// Clients that are to go on in another process.
     pub moved: Vec<Moved>,
+    /// What is shared with other drivers, where anything is.
+    sharing: Option<Sharing>,
+    /// By workload: to run one twice is no small matter, so others are asked before a marked repeat goes out.
+    harmful: Vec<bool>,
+    /// Positions of sessions' writes are kept here, for clients don't carry them.
+    remembers_sessions: bool,
 }
 
 impl<O: Observer> Owner<O> {
@@ -224,6 +233,13 @@
             adopted: 0,
             is_shared: false,
             drains: Vec::new(),
+            sharing: None,
+            harmful: settings
+                .workloads
+                .iter()
+                .map(|w| w.repeat != Repeat::Idempotent)
+                .collect(),
+            remembers_sessions: !settings.session_age_carried,
             moved: Vec::new(),
         }
     }
@@ -267,6 +283,7 @@
             self.calls.next_at(),
             self.clients.next_at(),
             self.accept_again,
+            self.sharing.as_ref().and_then(Sharing::next_at),
         ];
         times.into_iter().flatten().min().unwrap_or(Point(u64::MAX))
     }
@@ -280,6 +297,7 @@
                 self.discovery_heard(now, heard)
             }
             Input::Discovery(..) => {}
+            Input::Peers(news) => self.peers_heard(now, news),
             Input::Notice(notice) => self.notices.push(notice),
         }
         self.tell_ended(now);
@@ -295,6 +313,7 @@
             let results = self.module.time_reached(now);
             self.carry_out(now, results);
         }
+        self.reach_sharing(now);
         self.errands.end_idle(now);
         let (slow, rested) = self.clients.end_pauses(now);
         self.figures.clients_too_slow += slow;
@@ -363,111 +382,6 @@
         self.memory.0.most()
     }
 
-    /// What was learned, as another process goes on from it.
-    pub fn learned(&self) -> Learned<'_> {
-        (&self.module, &self.members)
-    }
-
-    /// Goes on from what another process has learned of the same deployment.
-    pub fn resume(&mut self, now: Point, settings: &Settings, (module, members): (choice::Driver, Members)) {
-        self.module = choice::Driver::resume(module, settings, false, now);
-        self.members = members;
-        self.module_wakes = Some(now);
-    }
-
-    /// Another process begins to serve beside this one, or doesn't any more; it is the one that stays, or leaves.
-    pub fn share(&mut self, now: Point, is_shared: bool, leaves: bool) {
-        (self.is_shared, self.drains) = (is_shared, Vec::new());
-        self.clients.share(is_shared);
-        let results = self.module.beside(now, is_shared && leaves);
-        self.carry_out(now, results);
-        self.tell_ended(now);
-    }
-
-    /// Executions that are out, by member.
-    pub fn out(&self) -> BTreeMap<String, u32> {
-        let mut out = BTreeMap::new();
-        for name in self.errands.out().filter_map(|m| self.members.name(m)) {
-            *out.entry(name.to_owned()).or_default() += 1;
-        }
-        out
-    }
-
-    /// Takes over what binds both processes. A member that is not known here gets nothing from here.
-    pub fn bind(&mut self, now: Point, word: &Word) {
-        let results = match word {
-            Word::Open { member, count } => self
-                .members
-                .find(member)
-                .map(|m| self.module.open_elsewhere(now, m, *count as usize)),
-            Word::Drains { member, since_ms } => self.members.find(member).map(|m| {
-                self.errands.let_go(m);
-                self.figures.drains_from_beside += 1;
-                self.module.drain_told(now, m, vitals::unix(*since_ms))
-            }),
-            Word::Heard => None,
-        };
-        if let Some(results) = results {
-            self.carry_out(now, results);
-            self.tell_ended(now);
-        }
-    }
-
-    /// What is held now, for who asks whether another process has room beside this one.
-    pub fn held(&self) -> (usize, usize) {
-        (self.clients.count(), self.memory_taken())
-    }
-
-    /// A descriptor of the listener, for another process.
-    pub fn listener(&self) -> Option<TcpListener> {
-        self.listening.as_ref()?.descriptor().ok()
-    }
-
-    /// Leaves newcomers to another process that listens at the same socket, or takes them again.
-    pub fn pause(&mut self, paused: bool) {
-        self.listening.as_ref().inspect(|l| l.pause(paused));
-        if !paused && !self.draining {
-            self.clients.stay();
-        }
-    }
-
-    /// Has each client go to another process between two statements; those that do lie in `moved`.
-    pub fn hand_clients_over(&mut self) {
-        self.clients.hand_over();
-        self.errands.hand_over_idle();
-    }
-
-    /// Goes on with an idle connection to a member that is still known.
-    pub fn adopt_connection(&mut self, now: Point, member: u32, stream: TcpStream) {
-        let Some(address) = self.members.address(member) else {
-            return;
-        };
-        let adopt = &mut self.adopt_connection;
-        if self.errands.adopt(now, (member, address), |id| adopt(id, stream)) {
-            self.figures.connections_adopted += 1;
-        }
-    }
-
-    /// Goes on with a client that another process stood so with. Its number lies above those of who is accepted here.
-    pub fn adopt(&mut self, now: Point, moved: Moved) {
-        self.adopted = self.adopted.wrapping_add(1) | ADOPTED;
-        let id = self.adopted;
-        match (self.adopt)(id, moved.stream, moved.standing) {
-            Ok(line) => {
-                // Its news lie in the queue, and come behind this.
-                if moved.verdicts != Verdicts::default() {
-                    self.verdicts.insert(id, moved.verdicts);
-                }
-                self.arrived(now, Arrival::Client(id, line));
-                self.figures.clients_adopted += 1;
-                if moved.has_asked {
-                    self.clients.asked_before(id, now);
-                }
-            }
-            Err(e) => self.arrived(now, Arrival::Failed(e)),
-        }
-    }
-
     pub fn attach(&mut self, listening: Listening) {
         self.listening = Some(listening);
     }
@@ -573,30 +487,6 @@
         }
     }
 
-    /// Answers a statement that a process has read which died, as far as that is known; whether it did.
-    fn judged(&mut self, client: u32, number: u32, end: u64) -> bool {
-        let Some(verdicts) = self.verdicts.get(&client) else {
-            return false;
-        };
-        let verdict = verdicts.of(end);
-        if verdicts.is_over(end) {
-            self.verdicts.remove(&client);
-        }
-        let (stmt, hold_off) = (0, Span(0));
-        let (count, answer) = match verdict {
-            Verdict::Open => return false,
-            Verdict::Rejected => (
-                &mut self.figures.taken_back_rejected,
-                Answer::Rejected { stmt, hold_off },
-            ),
-            Verdict::Aborted => (&mut self.figures.taken_back_aborted, Answer::Aborted { stmt }),
-        };
-        *count += 1;
-        let (_, told) = endings::of_answer(&answer);
-        self.clients.say(client, Say::Answer(number, told));
-        true
-    }
-
     fn statement(&mut self, now: Point, (client, number, end): (u32, u32, u64), text: Text, at: Point) {
         let marked = comment::read(&text.text);
         let length = text.text.len();
@@ -624,19 +514,25 @@
         self.clients.waits_for(client, id);
         let sessions = matches!(self.freshness[workload], Freshness::Session | Freshness::Write);
         let key = marked.key.as_deref().filter(|_| sessions);
+        let session = key.map_or(0, session);
+        self.statements.note(id, workload, session);
         let taken = Statement {
             id,
             workload,
             tenant: 0,
             group: marked.group,
-            session: key.map_or(0, session),
+            session,
             repeat: marked.repeat,
             left: times_out - now,
             work: None,
+            doubted: None,
             written_ago: marked.after.and_then(vitals::unix).map(|after| now - after),
         };
-        let results = self.module.statement_taken(now, &taken);
-        self.carry_out(now, results);
+        let taken = self.asks_others(now, (marked.id, marked.repeat), taken, times_out);
+        if let Some(taken) = taken {
+            let results = self.module.statement_taken(now, &taken);
+            self.carry_out(now, results);
+        }
     }
 
     /// The workload of a statement that can be routed.
@@ -678,6 +574,7 @@
             if let Some((number, until)) = self.statements.execute(e.stmt, e.until) {
                 self.figures.executions_sent += 1;
                 let kind = Kind::Execution { stmt: e.stmt, number };
+                self.shares_execution(now, e.stmt, number, e.member);
                 self.start(now, Errand::new(kind, e.member, now, until));
             }
         }
@@ -747,6 +644,7 @@
     fn tell_ended(&mut self, now: Point) {
         while let Some(end) = self.ended.pop_front() {
             let (member, ending) = (end.errand.member, end.ending);
+            self.shares_end(now, end.errand.kind, member, (ending, end.sighting));
             let results = match end.errand.kind {
                 Kind::Execution { stmt, number } => {
                     endings::count(&mut self.figures, ending);
@@ -883,6 +781,7 @@
             let since_ms = e.started.map_or(0, |at| at.0 / 1000);
             self.drains.extend(name.map(|n| (n.to_owned(), since_ms)));
         }
+        self.shares_listed(now, roster.index, &entries);
         let left_out = roster.left_out + roster.entries.len() - entries.len();
         if left_out > 0 {
             self.figures.roster_entries_left_out += left_out as u64;
--- /dev/null
+++ b/crates/driver/src/routing/owner/sharing.rs
@@ -0,0 +1,303 @@
+//! What the owner makes of other drivers' word, and what it tells them.
+
+use super::{Observer, Owner};
+use crate::protocol::vitals;
+use crate::routing::endings;
+use crate::routing::errands::Kind;
+use crate::routing::sharing::{sightings, News, Out, Parked, Sharing, Word};
+use asterlatch::interface::*;
+use asterlatch::time::{Point, Span};
+use asterlatch_shared::doubts::{Known, Verdict, FOREVER};
+use asterlatch_shared::fact::{Fact, Standing as Listed};
+use asterlatch_shared::peers::Presence;
+use asterlatch_shared::wire::Question;
+
+impl<O: Observer> Owner<O> {
+    /// From now on others are told, and listened to.
+    pub fn join(&mut self, sharing: Sharing) {
+        self.sharing = Some(sharing);
+    }
+
+    pub fn leave_the_others(&mut self) {
+        if let Some(sharing) = &mut self.sharing {
+            (sharing.tell)(Word::Leave);
+        }
+    }
+
+    /// Does what is due by the clock.
+    pub(super) fn reach_sharing(&mut self, now: Point) {
+        let Some(sharing) = &mut self.sharing else { return };
+        let members = &self.members;
+        sharing.reach(now, |m| members.told_as(m));
+        for (name, verdict) in sharing.inquiries.due(now) {
+            self.figures.inquiries_unanswered += 1;
+            self.decided(now, name, verdict);
+        }
+    }
+
+    /// An execution goes out; others may have to know.
+    pub(super) fn shares_execution(&mut self, now: Point, stmt: u32, number: u8, member: u32) {
+        let Some(sharing) = &mut self.sharing else { return };
+        let Some((name, workload, session)) = self.statements.marks(stmt) else {
+            return;
+        };
+        let out = Out {
+            name,
+            session,
+            harmful: self.harmful[workload],
+            writes: self.freshness[workload] == Freshness::Write,
+        };
+        if out.harmful {
+            let member = self.members.name(member).unwrap_or_default();
+            sharing.log.sends(now, name, member);
+        }
+        if out.harmful || out.writes {
+            sharing.out.insert((stmt, number), out);
+        }
+    }
+
+    /// It has ended.
+    pub(super) fn shares_end(&mut self, now: Point, kind: Kind, member: u32, end: (Ending, Sighting)) {
+        let Some(sharing) = &mut self.sharing else { return };
+        let (ending, sighting) = end;
+        sharing.saw(now, member, sighting);
+        let Kind::Execution { stmt, number } = kind else {
+            return;
+        };
+        let Some(out) = sharing.out.remove(&(stmt, number)) else {
+            return;
+        };
+        if out.harmful && endings::never_ran(ending) {
+            sharing.log.untouched(out.name);
+        }
+        if let (true, true, Some(position)) = (out.writes, ending == Ending::Completed, sighting.position) {
+            if self.remembers_sessions {
+                sharing.session(now, out.session, position);
+            }
+        }
+    }
+
+    /// What the list says of a member.
+    pub(super) fn shares_listed(&mut self, now: Point, list: u64, entries: &[MemberEntry]) {
+        let Some(sharing) = &mut self.sharing else { return };
+        if sharing.list != list {
+            sharing.list = list;
+            (sharing.tell)(Word::List(list));
+        }
+        for e in entries {
+            let standing = match e.standing {
+                Standing::Ready => Listed::Ready,
+                Standing::Draining => Listed::Draining,
+                Standing::Gone => Listed::Gone,
+            };
+            let started_ms = e.started.map_or(0, |at| at.0 / 1000);
+            if let Some(name) = self.members.name(e.id) {
+                sharing.listed(now, name, started_ms, standing);
+            }
+        }
+    }
+
+    /// A statement that is to go to the module; nothing where it waits for others' word first.
+    pub(super) fn asks_others(
+        &mut self,
+        now: Point,
+        (name, repeat): (u64, bool),
+        taken: Statement,
+        times_out: Point,
+    ) -> Option<Statement> {
+        let harmful = self.harmful[taken.workload];
+        let Some(sharing) = self.sharing.as_mut().filter(|_| harmful) else {
+            return Some(taken);
+        };
+        let doubted = |doubted| Some(Statement { doubted, ..taken });
+        if sharing.log.is_given(name) {
+            // Another driver was told that it won't be sent from here.
+            self.figures.statements_given_away += 1;
+            return doubted(Some((FOREVER, 0)));
+        }
+        if !repeat {
+            return Some(taken);
+        }
+        match sharing.log.known(now, name) {
+            Known::Sent { ago, member } => {
+                let member = self.members.find(&member);
+                return doubted(Some(member.map_or((FOREVER, 0), |m| (ago, m))));
+            }
+            Known::Unknown => return doubted(Some((FOREVER, 0))),
+            Known::Untouched => {}
+        }
+        // No more of a statement's time than leaves enough of it.
+        let within = sharing.terms.ask.min(taken.left * 0.3);
+        let peers = sharing.asked.clone();
+        match sharing.inquiries.ask(now, name, &peers, within) {
+            Err(_) => Some(taken),
+            Ok(turn) => {
+                self.figures.inquiries += 1;
+                sharing.parked.insert(
+                    name,
+                    Parked {
+                        turn,
+                        taken,
+                        times_out,
+                    },
+                );
+                (sharing.tell)(Word::Ask(Question { id: name, turn }));
+                None
+            }
+        }
+    }
+
+    /// What others know of a statement that waited for it is known now.
+    fn decided(&mut self, now: Point, name: u64, verdict: Verdict) {
+        let Some(sharing) = &mut self.sharing else { return };
+        let Some(parked) = sharing.parked.remove(&name) else {
+            return;
+        };
+        (sharing.tell)(Word::Asked(Question {
+            id: name,
+            turn: parked.turn,
+        }));
+        // Its client may have gone.
+        if !self.statements.holds(parked.taken.id) {
+            return;
+        }
+        let doubted = match verdict {
+            Verdict::Untouched => None,
+            Verdict::Sent { ago, member } => {
+                self.figures.inquiries_in_doubt += 1;
+                let member = member.and_then(|m| self.members.find(&m));
+                Some(member.map_or((FOREVER, 0), |m| (ago, m)))
+            }
+        };
+        let taken = Statement {
+            doubted,
+            left: parked.times_out - now,
+            ..parked.taken
+        };
+        let results = self.module.statement_taken(now, &taken);
+        self.carry_out(now, results);
+        self.tell_ended(now);
+    }
+
+    /// A peer asks about a statement: whatever of it waits here is given away first.
+    fn questioned(&mut self, now: Point, from: usize, question: Question) {
+        let Some(sharing) = &mut self.sharing else { return };
+        let known = sharing.log.known(now, question.id);
+        if known == Known::Untouched {
+            sharing.log.give_away(now, question.id);
+            sharing.inquiries.end(question.id);
+            sharing.parked.remove(&question.id);
+        }
+        (sharing.tell)(Word::Answer {
+            to: from,
+            question,
+            known: known.clone(),
+        });
+        let open = self.statements.named(question.id);
+        let Some(stmt) = open.filter(|_| known == Known::Untouched) else {
+            return;
+        };
+        self.figures.statements_given_away += 1;
+        let results = self.module.statement_withdrawn(now, stmt);
+        self.carry_out(now, results);
+        let hold_off = Span(0);
+        let (_, told) = endings::of_answer(&Answer::Rejected { stmt, hold_off });
+        self.figures.rejected += u64::from(self.answer(stmt, told));
+    }
+
+    pub(super) fn peers_heard(&mut self, now: Point, news: News) {
+        match news {
+            News::News(fact, told) => {
+                self.figures.facts_from_others += 1;
+                self.fact(now, &fact, told);
+            }
+            News::Question { from, question } => self.questioned(now, from, question),
+            News::Answered {
+                from,
+                question,
+                known,
+            } => {
+                let Some(sharing) = &mut self.sharing else { return };
+                let (id, turn) = (question.id, question.turn);
+                if let Some(verdict) = sharing.inquiries.answered(id, turn, from, &known) {
+                    self.decided(now, id, verdict);
+                }
+            }
+            News::Presence(change) => {
+                let Some(sharing) = &self.sharing else { return };
+                let (to, from) = (change.to.name(), change.from.name());
+                let name = sharing.names.get(change.peer).map_or("", String::as_str);
+                if change.to == Presence::Gone {
+                    self.figures.peers_lost += 1;
+                }
+                let text = format_args!("driver {name} is {to}, was {from}");
+                self.observer.say(now, "fleet", text);
+            }
+            News::CaughtUp(whole) => {
+                let text = if whole { "caught up" } else { "behind: it was away" };
+                self.observer.say(now, "fleet", format_args!("{text}"));
+            }
+            News::CutOff { peer, why } => {
+                let Some(sharing) = &self.sharing else { return };
+                let name = sharing.names.get(peer).map_or("", String::as_str);
+                let text = format_args!("driver {name} is not listened to: {why}");
+                self.observer.say(now, "fleet", text);
+            }
+            News::Send { .. } => {}
+        }
+    }
+
+    /// What another driver has heard. One that isn't listed here binds nothing here.
+    fn fact(&mut self, now: Point, fact: &Fact, told: Point) {
+        match fact {
+            Fact::Member {
+                name,
+                started_ms,
+                position,
+                primary_at,
+                replica_at,
+                ..
+            } => {
+                let member = self.members.find(name);
+                // Of another start of it nothing holds here.
+                let same = |m: &u32| {
+                    self.members
+                        .told_as(*m)
+                        .is_some_and(|(_, at, _)| at == *started_ms)
+                };
+                let Some(member) = member.filter(same) else { return };
+                // Never as new as what it says to this driver itself.
+                let ago = (now - told).max(Span(1));
+                for sighting in sightings(*position, *primary_at, *replica_at) {
+                    let results = self.module.sighting_told(now, member, ago, sighting);
+                    self.carry_out(now, results);
+                }
+            }
+            Fact::Drain {
+                name,
+                started_ms,
+                list,
+                standing,
+            } => {
+                let newest = self.sharing.as_ref().map_or(0, |s| s.list);
+                // An older list than this driver's own binds nothing; of its own version the worse word does.
+                let binds = *standing != Listed::Ready && *list >= newest;
+                let Some(member) = self.members.find(name).filter(|_| binds) else {
+                    return;
+                };
+                self.errands.let_go(member);
+                self.figures.drains_from_others += 1;
+                let results = self.module.drain_told(now, member, vitals::unix(*started_ms));
+                self.carry_out(now, results);
+            }
+            Fact::Session { session, position } => {
+                if self.remembers_sessions {
+                    let position = Point(0) + Span::millis(*position);
+                    self.module.session_told(*session, position);
+                }
+            }
+            Fact::Cold { .. } | Fact::Driver { .. } => {}
+        }
+        self.tell_ended(now);
+    }
+}
--- a/crates/driver/src/routing/queue.rs
+++ b/crates/driver/src/routing/queue.rs
@@ -23,6 +23,8 @@
     /// News of the call with this number.
     Discovery(u32, watch::Heard),
     Notice(Notice),
+    /// What other drivers have told.
+    Peers(super::sharing::News),
 }
 
 macro_rules! taken_in {
--- /dev/null
+++ b/crates/driver/src/routing/sharing.rs
@@ -0,0 +1,220 @@
+//! What the owner keeps for what drivers tell each other: what was seen and is still to be told, which statements went out
+//! that must not run twice, and which wait for others' word. It speaks to the engine by words, and never waits for it.
+
+use asterlatch::interface::{Sighting, Statement};
+use asterlatch::time::{Point, Span};
+use asterlatch_shared::doubts::{Inquiries, Log};
+use asterlatch_shared::engine::Output;
+use asterlatch_shared::fact::{Fact, Standing};
+use asterlatch_shared::wire::Question;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// To the engine.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    Observed(Vec<(Fact, Span)>),
+    Ask(Question),
+    /// The answer isn't needed any more.
+    Asked(Question),
+    Answer {
+        to: usize,
+        question: Question,
+        known: asterlatch_shared::doubts::Known,
+    },
+    /// The list of members that is in force.
+    List(u64),
+    Leave,
+}
+
+/// From the engine.
+pub type News = Output;
+
+pub type Tell = Box<dyn FnMut(Word)>;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Between two tellings of what was seen.
+    pub tick: Span,
+    /// How long others' word on a statement is waited for.
+    pub ask: Span,
+    /// How long after its first sending a client may repeat a statement.
+    pub window: Span,
+    /// Ids kept for that.
+    pub most: usize,
+}
+
+/// A statement that waits for others' word.
+pub struct Parked {
+    pub turn: u32,
+    pub taken: Statement,
+    pub times_out: Point,
+}
+
+/// What a member has said since it was last told on.
+#[derive(Clone, Copy, Debug, Default)]
+struct Saw {
+    at: Point,
+    position: u64,
+    primary_at: u64,
+    replica_at: u64,
+}
+
+/// An execution of a statement that matters to others.
+#[derive(Clone, Copy, Debug)]
+pub struct Out {
+    pub name: u64,
+    pub session: u64,
+    pub harmful: bool,
+    pub writes: bool,
+}
+
+pub struct Sharing {
+    pub tell: Tell,
+    pub terms: Terms,
+    /// Who is to be asked about statements, and what all are called.
+    pub asked: Vec<usize>,
+    pub names: Vec<String>,
+    pub log: Log,
+    pub inquiries: Inquiries,
+    pub parked: BTreeMap<u64, Parked>,
+    /// Executions that are out, by statement and number.
+    pub out: BTreeMap<(u32, u8), Out>,
+    /// The version of the list in force.
+    pub list: u64,
+    drained: BTreeSet<String>,
+    saw: BTreeMap<u32, Saw>,
+    waiting: Vec<(Fact, Point)>,
+    tell_at: Option<Point>,
+}
+
+/// Facts that wait to be told at most: more than that in a tick is left out, and seen again.
+const MOST_WAITING: usize = 4096;
+
+fn ms(point: Point) -> u64 {
+    point.0 / 1000
+}
+
+impl Sharing {
+    /// `peers` are those asked about statements. Another life of this driver may have sent any before now.
+    pub fn new(now: Point, terms: Terms, asked: Vec<usize>, names: Vec<String>, tell: Tell) -> Sharing {
+        Sharing {
+            tell,
+            terms,
+            asked,
+            names,
+            log: Log::new(now, terms.window, terms.most, true),
+            inquiries: Inquiries::default(),
+            parked: BTreeMap::new(),
+            out: BTreeMap::new(),
+            list: 0,
+            drained: BTreeSet::new(),
+            saw: BTreeMap::new(),
+            waiting: Vec::new(),
+            tell_at: None,
+        }
+    }
+
+    pub fn next_at(&self) -> Option<Point> {
+        let times = [self.tell_at, self.inquiries.next_at()];
+        times.into_iter().flatten().min()
+    }
+
+    fn plan(&mut self, now: Point) {
+        self.tell_at = self.tell_at.or(Some(now + self.terms.tick));
+    }
+
+    /// A member has told this driver something of itself.
+    pub fn saw(&mut self, now: Point, member: u32, sighting: Sighting) {
+        if sighting == Sighting::default() {
+            return;
+        }
+        let position = sighting.position.map_or(0, ms);
+        let saw = self.saw.entry(member).or_default();
+        saw.at = now;
+        saw.position = saw.position.max(position);
+        // A role counts by the position it was told at; without one it is told to nobody.
+        match sighting.is_primary {
+            Some(true) => saw.primary_at = saw.primary_at.max(position),
+            Some(false) => saw.replica_at = saw.replica_at.max(position),
+            None => {}
+        }
+        self.plan(now);
+    }
+
+    pub fn session(&mut self, now: Point, session: u64, position: Point) {
+        if session != 0 && self.waiting.len() < MOST_WAITING {
+            let position = ms(position);
+            self.waiting.push((Fact::Session { session, position }, now));
+            self.plan(now);
+        }
+    }
+
+    /// How the list calls a member. One that is ready is told of only where others may hold it for draining.
+    pub fn listed(&mut self, now: Point, name: &str, started_ms: u64, standing: Standing) {
+        let was_drained = match standing {
+            Standing::Ready => self.drained.remove(name),
+            _ => {
+                self.drained.insert(name.to_owned());
+                true
+            }
+        };
+        if !was_drained {
+            return;
+        }
+        let fact = Fact::Drain {
+            name: name.to_owned(),
+            started_ms,
+            list: self.list,
+            standing,
+        };
+        // Drains wait for nothing.
+        (self.tell)(Word::Observed(vec![(fact, Span(0))]));
+        let _ = now;
+    }
+
+    /// Tells what was seen, where it is time; `of` says how others call a member, its start and group.
+    pub fn reach(&mut self, now: Point, of: impl Fn(u32) -> Option<(String, u64, u32)>) {
+        if self.tell_at.take_if(|at| *at <= now).is_none() {
+            return;
+        }
+        let mut facts: Vec<(Fact, Span)> = Vec::new();
+        for (member, saw) in std::mem::take(&mut self.saw) {
+            let Some((name, started_ms, group)) = of(member) else {
+                continue;
+            };
+            let fact = Fact::Member {
+                name,
+                started_ms,
+                group,
+                position: saw.position,
+                primary_at: saw.primary_at,
+                replica_at: saw.replica_at,
+            };
+            facts.push((fact, now - saw.at));
+        }
+        let sessions = std::mem::take(&mut self.waiting);
+        facts.extend(sessions.into_iter().map(|(fact, at)| (fact, now - at)));
+        if !facts.is_empty() {
+            (self.tell)(Word::Observed(facts));
+        }
+    }
+}
+
+/// What a peer's word of a member comes to here: how far it was, and its newest role at the position it was told at.
+pub fn sightings(position: u64, primary_at: u64, replica_at: u64) -> Vec<Sighting> {
+    let at = |ms: u64| Some(Point(0) + Span::millis(ms));
+    let mut all = Vec::new();
+    if primary_at > 0 || replica_at > 0 {
+        all.push(Sighting {
+            position: at(primary_at.max(replica_at)),
+            is_primary: Some(primary_at >= replica_at),
+        });
+    }
+    if position > primary_at.max(replica_at) {
+        all.push(Sighting {
+            position: at(position),
+            is_primary: None,
+        });
+    }
+    all
+}
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -4,7 +4,7 @@
 use crate::protocol::messages;
 use crate::protocol::session::Text;
 use asterlatch::time::{Point, Span};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::ops::Range;
 
 struct Held {
@@ -21,12 +21,14 @@
     left_at: Range<usize>,
     times_out: Point,
     executions: u8,
+    workload: usize,
+    session: u64,
 }
 
 #[derive(Default)]
 pub struct Statements {
     held: BTreeMap<u32, Held>,
-    names: BTreeSet<u64>,
+    names: BTreeMap<u64, u32>,
     next: u32,
 }
 
@@ -41,7 +43,7 @@
 
     /// Whether one that its client calls the same is open: to a member this one would be a copy of that.
     pub fn has_name(&self, name: u64) -> bool {
-        self.names.contains(&name)
+        self.names.contains_key(&name)
     }
 
     /// Holds a statement that came then, and gives it an id; says that and its statement timeout, which is its
@@ -66,12 +68,32 @@
             left_at: marked.left_at.clone(),
             times_out,
             executions: 0,
+            workload: 0,
+            session: 0,
         };
-        self.names.insert(marked.id);
+        self.names.insert(marked.id, self.next);
         self.held.insert(self.next, held);
         (self.next, times_out)
     }
 
+    /// The one that its client calls this.
+    pub fn named(&self, name: u64) -> Option<u32> {
+        self.names.get(&name).copied()
+    }
+
+    /// What is known of it beside its bytes.
+    pub fn note(&mut self, id: u32, workload: usize, session: u64) {
+        if let Some(held) = self.held.get_mut(&id) {
+            (held.workload, held.session) = (workload, session);
+        }
+    }
+
+    /// Its name, workload and session.
+    pub fn marks(&self, id: u32) -> Option<(u64, usize, u64)> {
+        let held = self.held.get(&id)?;
+        Some((held.name, held.workload, held.session))
+    }
+
     /// Lets go of one that has its final answer, or needs none; says whose it was, and
     /// its number there.
     pub fn release(&mut self, id: u32) -> Option<(u32, u32)> {
--- a/crates/driver/src/routing/tables.rs
+++ b/crates/driver/src/routing/tables.rs
@@ -41,6 +41,8 @@
 struct Known {
     name: String,
     address: Option<SocketAddr>,
+    group: u32,
+    since_ms: u64,
 }
 
 /// Members from the first word of them until the module lets them go. No id is given twice, so one that is still
@@ -70,6 +72,12 @@
         self.known.get(&member).map(|k| k.name.as_str())
     }
 
+    /// As other drivers are told of it: its name, when it started (Unix time in milliseconds), and its group.
+    pub fn told_as(&self, member: u32) -> Option<(String, u64, u32)> {
+        let known = self.known.get(&member)?;
+        Some((known.name.clone(), known.since_ms, known.group))
+    }
+
     pub fn find(&self, name: &str) -> Option<u32> {
         self.ids.get(name).copied()
     }
@@ -100,7 +108,12 @@
         let known = self.known.entry(id).or_insert_with(|| Known {
             name: e.name.clone(),
             address: None,
+            group: e.group,
+            since_ms: e.since_ms,
         });
+        if e.status != Status::Deleted {
+            (known.group, known.since_ms) = (e.group, e.since_ms);
+        }
         known.address = address.or(known.address);
         self.next = self.next.max(id.wrapping_add(1));
         // One that is gone may come with little more than its name.
--- a/crates/driver/src/transport/mod.rs
+++ b/crates/driver/src/transport/mod.rs
@@ -68,6 +68,7 @@
 
 pub mod ages;
 pub mod clock;
+pub mod datagrams;
 pub mod listener;
 pub mod pool;
 pub mod room;
--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of members over HTTP: whole, and as a watch that waits for something newer.
 
 use crate::member::{lock, Shared};
+use crate::script::Outage;
 use crate::wire::unix;
 use asterlatch::time::Span;
 use serde_json::{json, Value};
@@ -38,20 +39,28 @@
     json!({"index": index, "snapshot": true, "endpoints": endpoints})
 }
 
-pub fn start(store: &Shared, addresses: &Addresses) -> io::Result<SocketAddr> {
+/// Discovery for one of several drivers (from 1; 0 where there is one only), which may be kept from news.
+pub fn start(store: &Shared, addresses: &Addresses, driver: u32) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let (store, addresses) = (store.clone(), addresses.clone());
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (store, addresses) = (store.clone(), addresses.clone());
-            thread::spawn(move || drop(answer(stream, &store, &addresses)));
+            thread::spawn(move || drop(answer(stream, &store, &addresses, driver)));
         }
     });
     Ok(address)
 }
 
-fn answer(mut stream: TcpStream, store: &Shared, addresses: &Addresses) -> io::Result<()> {
+fn hears_nothing(store: &Shared, driver: u32) -> bool {
+    let store = lock(store);
+    store
+        .script
+        .befalls(unix() - store.started, driver, Outage::NoList)
+}
+
+fn answer(mut stream: TcpStream, store: &Shared, addresses: &Addresses, driver: u32) -> io::Result<()> {
     let mut lines = BufReader::new(stream.try_clone()?);
     loop {
         let mut first = String::new();
@@ -81,6 +90,10 @@
             thread::sleep(Duration::from_millis(5));
             list = listed(store, addresses);
         }
+        // Kept from news: neither a call nor a watch that stood before has an answer.
+        while hears_nothing(store, driver) {
+            thread::sleep(Duration::from_millis(5));
+        }
         if field("after").is_some_and(|after| list["index"].as_u64() <= Some(after)) {
             list["endpoints"] = json!([]);
             list["snapshot"] = json!(false);
--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,513 @@
+//! Several processes of the program with one store behind them, links between them, and what befalls all of that by script.
+
+use crate::arrivals::Arrivals;
+use crate::discovery;
+use crate::judge::{judge, Told};
+use crate::member::{self, lock, pause, Shared};
+use crate::relay::{self, Link};
+use crate::roam::{self, Manners, Roamed};
+use crate::scene::{described, is_up, PATIENCE};
+use crate::script::{Outage, Script};
+use crate::store::{Kind, Store};
+use crate::wire::unix;
+use asterlatch::time::{Point, Span};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
+use std::fs::File;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What is put up.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub drivers: u32,
+    pub groups: u32,
+    pub replicas: u32,
+    pub script: Script,
+    /// Drivers tell each other; else each is alone.
+    pub shares: bool,
+    pub seconds: f64,
+    /// Statements a second.
+    pub rate: f64,
+    pub clients: usize,
+    pub manners: Manners,
+    pub seed: u64,
+}
+
+struct Process {
+    number: u32,
+    listen: SocketAddr,
+    child: Option<Child>,
+    starts: u32,
+}
+
+pub struct Fleet {
+    pub store: Shared,
+    folder: PathBuf,
+    program: PathBuf,
+    processes: Vec<Process>,
+    /// What befell whom, as it came to be.
+    pub outages: Vec<(u32, Point, Point)>,
+    _links: Vec<Link>,
+}
+
+fn free_udp() -> io::Result<SocketAddr> {
+    UdpSocket::bind("127.0.0.1:0")?.local_addr()
+}
+
+impl Fleet {
+    pub fn start(program: &Path, folder: &Path, plan: &Plan) -> io::Result<Fleet> {
+        std::fs::create_dir_all(folder)?;
+        let store = Store::new(plan.groups, plan.replicas, plan.script.clone(), unix());
+        let store: Shared = Arc::new(Mutex::new(store));
+        let members: Vec<u32> = lock(&store).members().collect();
+        let started = members.into_iter().map(|m| Ok((m, member::start(&store, m)?)));
+        let addresses: discovery::Addresses = started.collect::<io::Result<_>>()?;
+        let own: Vec<SocketAddr> = (0..plan.drivers).map(|_| free_udp()).collect::<io::Result<_>>()?;
+        let mut links = Vec::new();
+        // Where each finds each other one.
+        let mut found: BTreeMap<(u32, u32), SocketAddr> = BTreeMap::new();
+        for one in 1..=plan.drivers {
+            for other in one + 1..=plan.drivers {
+                let ends = (own[one as usize - 1], own[other as usize - 1]);
+                let link = relay::start(&store, (one, other), ends, plan.seed)?;
+                found.insert((one, other), link.at.0);
+                found.insert((other, one), link.at.1);
+                links.push(link);
+            }
+        }
+        let mut fleet = Fleet {
+            store,
+            folder: folder.to_owned(),
+            program: program.to_owned(),
+            processes: Vec::new(),
+            outages: Vec::new(),
+            _links: links,
+        };
+        for number in 1..=plan.drivers {
+            let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+            let discovery = discovery::start(&fleet.store, &addresses, number)?;
+            let known = discovery::listed(&fleet.store, &addresses);
+            let name = format!("d{number}");
+            let config = described(&fleet.store, (&name, listen, discovery), known, plan.drivers);
+            std::fs::write(fleet.path(number, "json"), config.to_string())?;
+            let mut text = String::from("log(lines = 100/s)\n");
+            if plan.shares {
+                let port = own[number as usize - 1].port();
+                text += &format!(
+                    "shared(port = {port}, probe = 200ms, suspicion = 1s, compare = 500ms, ask = 100ms, window = 5s)\n"
+                );
+                for other in (1..=plan.drivers).filter(|o| *o != number) {
+                    let port = found[&(number, other)].port();
+                    text += &format!("driver(\"d{other}@127.0.0.1\", port = {port})\n");
+                }
+            }
+            std::fs::write(fleet.path(number, "latch"), text)?;
+            fleet.processes.push(Process {
+                number,
+                listen,
+                child: None,
+                starts: 0,
+            });
+        }
+        for number in 1..=plan.drivers {
+            fleet.begin(number)?;
+        }
+        for number in 1..=plan.drivers {
+            fleet.await_up(number)?;
+        }
+        Ok(fleet)
+    }
+
+    fn path(&self, number: u32, end: &str) -> PathBuf {
+        self.folder.join(format!("d{number}.{end}"))
+    }
+
+    pub fn listens(&self) -> Vec<SocketAddr> {
+        self.processes.iter().map(|p| p.listen).collect()
+    }
+
+    fn begin(&mut self, number: u32) -> io::Result<()> {
+        let starts = self.processes[number as usize - 1].starts + 1;
+        let log = File::create(self.path(number, &format!("{starts}.log")))?;
+        let child = Command::new(&self.program)
+            .arg("serve")
+            .arg("--config")
+            .arg(self.path(number, "json"))
+            .arg("--operators")
+            .arg(self.path(number, "latch"))
+            .arg("--control")
+            .arg(self.path(number, "control"))
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .map_err(|e| io::Error::other(format!("{}: {e}", self.program.display())))?;
+        let process = &mut self.processes[number as usize - 1];
+        (process.child, process.starts) = (Some(child), starts);
+        Ok(())
+    }
+
+    fn await_up(&self, number: u32) -> io::Result<()> {
+        let end = Instant::now() + PATIENCE;
+        while let Err(e) = is_up(self.processes[number as usize - 1].listen) {
+            if Instant::now() > end {
+                let log = std::fs::read_to_string(self.path(number, "1.log")).unwrap_or_default();
+                return Err(io::Error::other(format!(
+                    "driver {number} doesn't serve: {e}\n{log}"
+                )));
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        Ok(())
+    }
+
+    /// Waits until all drivers hold that all others are there and that they have caught up.
+    pub fn await_whole(&self) -> io::Result<()> {
+        let end = Instant::now() + PATIENCE;
+        while !self.is_whole()? {
+            if Instant::now() > end {
+                return Err(io::Error::other("the drivers don't find each other"));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        Ok(())
+    }
+
+    fn is_whole(&self) -> io::Result<bool> {
+        for process in &self.processes {
+            let status = self.show(process.number, "status")?;
+            let rows = status["drivers"].as_array().cloned().unwrap_or_default();
+            let fine = |r: &Value| {
+                let presence = r["presence"].as_str().unwrap_or_default();
+                r["caught_up"] == true && (presence == "there" || presence == "this one")
+            };
+            if rows.len() != self.processes.len() || !rows.iter().all(fine) {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// What a driver says of what is shared.
+    pub fn show(&self, number: u32, what: &str) -> io::Result<Value> {
+        let output = Command::new(&self.program)
+            .args(["fleet", what, "--json", "--control"])
+            .arg(self.path(number, "control"))
+            .output()?;
+        serde_json::from_slice(&output.stdout).map_err(|e| {
+            let said = String::from_utf8_lossy(&output.stderr).into_owned();
+            io::Error::other(format!("fleet {what} of driver {number}: {e} {said}"))
+        })
+    }
+
+    /// How long until all copies are equal, once nothing new comes.
+    pub fn await_equal(&self, most: Duration) -> io::Result<Option<Duration>> {
+        let began = Instant::now();
+        while began.elapsed() < most {
+            let marks: io::Result<Vec<Value>> = self
+                .processes
+                .iter()
+                .map(|p| Ok(self.show(p.number, "facts")?["copy"].clone()))
+                .collect();
+            let marks = marks?;
+            if marks.windows(2).all(|w| w[0] == w[1]) {
+                return Ok(Some(began.elapsed()));
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(None)
+    }
+
+    fn signal(&self, number: u32, name: &str) {
+        if let Some(child) = &self.processes[number as usize - 1].child {
+            let _ = Command::new("kill")
+                .arg(format!("-{name}"))
+                .arg(child.id().to_string())
+                .status();
+        }
+    }
+
+    /// Does to drivers what the script says, until all of it is done.
+    fn play(&mut self, from: Point, script: &Script) -> io::Result<()> {
+        let mut steps: Vec<(Span, u32, Outage, bool)> = Vec::new();
+        for (driver, outage, begins, ends) in script.outages() {
+            if outage != Outage::NoList && (driver as usize) <= self.processes.len() {
+                steps.push((begins, driver, outage, true));
+                steps.push((ends, driver, outage, false));
+            }
+        }
+        steps.sort_by_key(|(at, driver, ..)| (*at, *driver));
+        let mut open: BTreeMap<u32, Point> = BTreeMap::new();
+        for (at, driver, outage, begins) in steps {
+            pause((from + at) - unix());
+            match (outage, begins) {
+                (Outage::Killed, true) => {
+                    self.signal(driver, "KILL");
+                    if let Some(mut child) = self.processes[driver as usize - 1].child.take() {
+                        child.wait()?;
+                    }
+                }
+                (Outage::Killed, false) => {
+                    self.begin(driver)?;
+                    self.await_up(driver)?;
+                }
+                (Outage::Stopped, true) => self.signal(driver, "STOP"),
+                (Outage::Stopped, false) => self.signal(driver, "CONT"),
+                (Outage::NoList, _) => {}
+            }
+            if begins {
+                open.insert(driver, from + at);
+            } else if let Some(since) = open.remove(&driver) {
+                self.outages.push((driver, since, unix()));
+            }
+        }
+        Ok(())
+    }
+
+    fn end(&mut self) {
+        for p in &self.processes {
+            self.signal(p.number, "CONT");
+            self.signal(p.number, "TERM");
+        }
+        for p in &mut self.processes {
+            if let Some(mut child) = p.child.take() {
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for p in &mut self.processes {
+            if let Some(mut child) = p.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+/// What became of statements whose client had no answer at one driver and repeated them at another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Repeats {
+    pub asked: u64,
+    /// Of those that had run when they were repeated.
+    pub had_run: u64,
+    pub told_in_doubt: u64,
+    pub told_untouched: u64,
+    pub completed: u64,
+    /// Told that nothing ran where something had.
+    pub untrue: u64,
+    /// Ran twice.
+    pub doubled: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub text: String,
+    /// Rules broken, by name.
+    pub broken: BTreeMap<&'static str, u64>,
+    pub repeats: Repeats,
+    pub asked: u64,
+    pub completed: u64,
+    pub rejected: u64,
+    pub aborted: u64,
+    pub reads_at_primaries: f64,
+    /// Session reads at another driver than the write's that were older than that write.
+    pub roamed_stale: u64,
+    /// Datagram bytes a driver and second.
+    pub bytes: f64,
+    /// Until all copies were equal, in seconds.
+    pub equal: Option<f64>,
+}
+
+impl Outcome {
+    pub fn is_kept(&self) -> bool {
+        self.broken.is_empty()
+    }
+}
+
+/// A driver that was stopped or killed isn't held to answers for so long around that.
+const AROUND: Span = Span::millis(1500);
+
+/// Puts a fleet up, plays the script under load, and judges.
+pub fn run(program: &Path, folder: &Path, plan: &Plan) -> io::Result<Outcome> {
+    let mut fleet = Fleet::start(program, folder, plan)?;
+    if plan.shares {
+        fleet.await_whole()?;
+    }
+    let from = unix();
+    let (workloads, until) = {
+        let mut store = lock(&fleet.store);
+        store.started = from;
+        (store.workloads.clone(), Span((plan.seconds * 1e6) as u64))
+    };
+    let arrivals = Arrivals::new(&workloads, plan.rate, plan.groups, until, plan.seed);
+    let terms = (plan.clients, plan.manners, plan.seed);
+    let load = roam::start(&fleet.store, &fleet.listens(), arrivals, from, terms);
+    fleet.play(from, &plan.script)?;
+    let records = load.finish();
+    let mut outcome = Outcome::default();
+    if plan.shares {
+        let passed = (unix() - from).ratio(Span::millis(1000));
+        let mut bytes = 0.0;
+        for number in 1..=plan.drivers {
+            let status = fleet.show(number, "status")?;
+            bytes += status["counts"][0]["bytes_sent"].as_f64().unwrap_or(0.0);
+        }
+        outcome.bytes = bytes / passed / f64::from(plan.drivers);
+        outcome.equal = fleet.await_equal(PATIENCE)?.map(|d| d.as_secs_f64());
+        if outcome.equal.is_none() {
+            outcome.broken.insert("copies never equal", 1);
+        }
+    }
+    fleet.end();
+    weigh(&fleet, &records, &mut outcome);
+    let _ = std::fs::remove_dir_all(folder);
+    Ok(outcome)
+}
+
+fn weigh(fleet: &Fleet, records: &[Roamed], outcome: &mut Outcome) {
+    let store = lock(&fleet.store);
+    let spared = |driver: u32, from: Point, until: Point| {
+        let hit = |(d, a, b): &(u32, Point, Point)| *d == driver && from < *b + AROUND && until + AROUND > *a;
+        fleet.outages.iter().any(hit)
+    };
+    let mut plain: Vec<_> = records.iter().map(|r| r.record).collect();
+    for (r, plain) in records.iter().zip(&mut plain) {
+        if plain.told == Told::Nothing {
+            // Judged try by try below.
+            plain.told = Told::Refused;
+        }
+        if r.tries.last().is_some_and(|t| spared(t.driver, t.sent, t.ended)) {
+            // One that was stopped answers when it goes on.
+            plain.answered = plain.answered.min(plain.sent);
+        }
+        for t in r.tries.iter().filter(|t| t.told == Told::Nothing && !t.left) {
+            if !spared(t.driver, t.sent, t.ended) {
+                *outcome
+                    .broken
+                    .entry("lost: no answer from a driver that was up")
+                    .or_default() += 1;
+            }
+        }
+    }
+    let report = judge(&store, &plain);
+    for (n, count) in report.breaches.iter().enumerate().filter(|(_, c)| **c > 0) {
+        // What a session wrote at one driver is no promise at another; it is counted.
+        if n == crate::judge::SESSION {
+            outcome.roamed_stale = *count;
+        } else {
+            outcome.broken.insert(crate::judge::BREACHES[n], *count);
+        }
+    }
+    if report.after_drains > 0 {
+        outcome
+            .broken
+            .insert("drains: sent long after it was told", report.after_drains);
+    }
+    let r = &mut outcome.repeats;
+    for roamed in records {
+        let is_unsafe = store.workloads[roamed.record.workload].kind == Kind::Write { dropped: false };
+        let open = roamed.tries.iter().position(|t| t.told == Told::Nothing);
+        let repeated = open.is_some_and(|n| n + 1 < roamed.tries.len());
+        if !is_unsafe || !repeated {
+            continue;
+        }
+        let effects = store
+            .effects
+            .get(&roamed.record.id)
+            .map_or(&[][..], Vec::as_slice);
+        let again = open
+            .and_then(|n| roamed.tries.get(n + 1))
+            .map_or(Point(0), |t| t.sent);
+        let had_run = effects.iter().any(|(_, at)| *at <= again);
+        r.asked += 1;
+        r.had_run += u64::from(had_run);
+        r.doubled += u64::from(effects.len() > 1);
+        match roamed.record.told {
+            Told::Aborted => r.told_in_doubt += 1,
+            Told::Rejected => {
+                r.told_untouched += 1;
+                r.untrue += u64::from(!effects.is_empty());
+            }
+            Told::Row { .. } => r.completed += 1,
+            Told::Nothing | Told::Refused => {}
+        }
+    }
+    outcome.asked = report.asked();
+    outcome.completed = report.completed();
+    outcome.rejected = report.rows.iter().map(|r| r.rejected).sum();
+    outcome.aborted = report.rows.iter().map(|r| r.aborted).sum();
+    let reads = store.reads.values().fold((0, 0), |(p, r), (a, b)| (p + a, r + b));
+    outcome.reads_at_primaries = f64::from(reads.0) / f64::from((reads.0 + reads.1).max(1));
+    outcome.text = report.to_string();
+}
+
+impl Display for Outcome {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        let table = self.text.split("rules kept").next().unwrap_or_default();
+        let table = table.split("broken:").next().unwrap_or_default();
+        write!(f, "{table}")?;
+        let r = &self.repeats;
+        writeln!(
+            f,
+            "unsafe writes repeated at another driver: {}, of which {} had run; told in doubt {}, untouched {}, completed {}; \
+             untrue {}, doubled {}",
+            r.asked, r.had_run, r.told_in_doubt, r.told_untouched, r.completed, r.untrue, r.doubled
+        )?;
+        writeln!(
+            f,
+            "reads at primaries {:.2} %, session reads older than a write at another driver: {}",
+            self.reads_at_primaries * 100.0,
+            self.roamed_stale
+        )?;
+        if self.bytes > 0.0 {
+            let equal = self
+                .equal
+                .map_or("never".to_owned(), |s| format!("after {s:.2} s"));
+            writeln!(
+                f,
+                "told: {:.0} bytes a driver and second; copies equal {equal}",
+                self.bytes
+            )?;
+        }
+        for (what, count) in &self.broken {
+            writeln!(f, "broken: {count} times {what}")?;
+        }
+        if self.is_kept() {
+            writeln!(f, "rules kept over all processes")?;
+        }
+        Ok(())
+    }
+}
+
+/// Scenes by name: what they are for, and what befalls whom. The fleet has five drivers.
+pub const SCENES: [(&str, &str); 9] = [
+    ("killed", "1s driver 2 is killed for 2s"),
+    ("one-way", "500ms link 1 to 2 is cut for 4s"),
+    (
+        "split",
+        "1s split 1 2 from 3 4 5 for 3s\n1500ms group 1 switches to 2\n2s member 5 lags 2s for 1s",
+    ),
+    ("drain", "500ms driver 3 hears no list for 5s\n1s member 2 drains for 4s"),
+    (
+        "drain-in-a-split",
+        "500ms driver 3 hears no list for 5s\n800ms split 1 2 from 4 5 for 3s\n1s member 2 drains for 4s",
+    ),
+    ("doubt", "1s driver 1 stops for 1s\n3s driver 2 is killed for 1s"),
+    ("lossy", "0s links lose 30% for 5s\n0s links garble 5% for 5s\n0s links slow 20ms for 5s"),
+    ("paused", "1s driver 4 stops for 3s"),
+    (
+        "rolling",
+        "500ms driver 1 is killed for 200ms\n1500ms driver 2 is killed for 200ms\n2500ms driver 3 is killed for 200ms",
+    ),
+];
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -39,6 +39,9 @@
 /// The protocol's slack.
 const SLACK: Span = Span::millis(50);
 
+/// The place of what sessions wrote among the breaches.
+pub const SESSION: usize = 8;
+
 /// What was broken, in the order of the rules.
 pub const BREACHES: [&str; 9] = [
     "lost: no final answer",
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,9 +6,12 @@
 
 pub mod arrivals;
 pub mod discovery;
+pub mod fleet;
 pub mod judge;
 pub mod load;
 pub mod member;
+pub mod relay;
+pub mod roam;
 pub mod scene;
 pub mod script;
 pub mod store;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -138,7 +138,7 @@
 }
 
 /// The one final answer, up to where the next statement may follow.
-fn answer(stream: &mut TcpStream) -> io::Result<Told> {
+pub fn answer(stream: &mut TcpStream) -> io::Result<Told> {
     let mut told = None;
     loop {
         let (kind, body) = read(stream, true)?;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,9 +2,11 @@
 
 use asterlatch::time::{Point, Span};
 use asterlatch_lab::arrivals::Arrivals;
+use asterlatch_lab::fleet::{self, Plan};
 use asterlatch_lab::judge::{judge, times, Record};
 use asterlatch_lab::load;
 use asterlatch_lab::member::{lock, pause};
+use asterlatch_lab::roam::Manners;
 use asterlatch_lab::scene::Scene;
 use asterlatch_lab::script::Script;
 use asterlatch_lab::wire::unix;
@@ -34,6 +36,24 @@
         #[arg(long)]
         script: Option<PathBuf>,
     },
+    /// Several processes of the program with faults between them.
+    Fleet {
+        #[command(flatten)]
+        arguments: FleetArguments,
+        /// What befalls whom: one of the scenes by name.
+        #[arg(long, default_value = "killed")]
+        scene: String,
+        /// Or a script, a line each.
+        #[arg(long)]
+        script: Option<PathBuf>,
+    },
+    /// All scenes, each with so many seeds.
+    TrialFleet {
+        #[command(flatten)]
+        arguments: FleetArguments,
+        #[arg(long, default_value_t = 6)]
+        seeds: u64,
+    },
     /// Upgrades, or restarts in their place, under load: what clients notice.
     Upgrade {
         #[command(flatten)]
@@ -55,6 +75,37 @@
     },
 }
 
+#[derive(Args)]
+struct FleetArguments {
+    /// The built program; without it the one that lies beside this one.
+    #[arg(long)]
+    driver: Option<PathBuf>,
+    #[arg(long, default_value_t = 5)]
+    drivers: u32,
+    /// Statements a second, over all drivers.
+    #[arg(long, default_value_t = 600.0)]
+    rate: f64,
+    #[arg(long, default_value_t = 6.0)]
+    seconds: f64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 3)]
+    groups: u32,
+    #[arg(long, default_value_t = 2)]
+    replicas: u32,
+    #[arg(long, default_value_t = 64)]
+    clients: usize,
+    /// Of a thousand statements, those asked at another driver than their session's.
+    #[arg(long, default_value_t = 100)]
+    roam: u32,
+    /// Of a thousand writes, those whose client goes away at once and repeats them elsewhere.
+    #[arg(long, default_value_t = 100)]
+    hasty: u32,
+    /// Each driver is alone: nothing is shared.
+    #[arg(long)]
+    alone: bool,
+}
+
 #[derive(Args)]
 struct Common {
     /// The built program; without it the one that lies beside this one.
@@ -241,8 +292,92 @@
     })
 }
 
+impl FleetArguments {
+    fn plan(&self, text: &str, seed: u64) -> io::Result<Plan> {
+        Ok(Plan {
+            drivers: self.drivers,
+            groups: self.groups,
+            replicas: self.replicas,
+            script: Script::read(text).map_err(io::Error::other)?,
+            shares: !self.alone,
+            seconds: self.seconds,
+            rate: self.rate,
+            clients: self.clients,
+            manners: Manners {
+                roam: self.roam,
+                hasty: self.hasty,
+            },
+            seed,
+        })
+    }
+
+    fn run(&self, text: &str, seed: u64) -> io::Result<fleet::Outcome> {
+        let program = match &self.driver {
+            Some(path) => path.clone(),
+            None => std::env::current_exe()?.with_file_name("asterlatch"),
+        };
+        let folder = std::env::temp_dir().join(format!("asterlatch-fleet-{}-{seed}", std::process::id()));
+        fleet::run(&program, &folder, &self.plan(text, seed)?)
+    }
+}
+
+fn fleet_scene(arguments: &FleetArguments, scene: &str, script: Option<&PathBuf>) -> io::Result<bool> {
+    let text = match script {
+        Some(path) => {
+            std::fs::read_to_string(path).map_err(|e| io::Error::other(format!("{}: {e}", path.display())))?
+        }
+        None => {
+            let found = fleet::SCENES.iter().find(|(name, _)| *name == scene);
+            let names: Vec<_> = fleet::SCENES.iter().map(|(name, _)| *name).collect();
+            let (_, text) =
+                found.ok_or_else(|| io::Error::other(format!("no scene '{scene}': {}", names.join(", "))))?;
+            (*text).to_owned()
+        }
+    };
+    println!(
+        "{} drivers, {} statements a second:\n{text}\n",
+        arguments.drivers, arguments.rate
+    );
+    let outcome = arguments.run(&text, arguments.seed)?;
+    println!("{outcome}");
+    Ok(outcome.is_kept())
+}
+
+fn trial_fleet(arguments: &FleetArguments, seeds: u64) -> io::Result<bool> {
+    let (mut passed, mut failed) = (0, 0);
+    for (name, text) in fleet::SCENES {
+        for seed in arguments.seed..arguments.seed + seeds {
+            let outcome = arguments.run(text, seed)?;
+            let r = outcome.repeats;
+            println!(
+                "{name:<18} seed {seed:<4} asked {:>6}, rejected {:>4}, in doubt {:>4}; repeats {:>4}, untrue {}, doubled {}; {}",
+                outcome.asked,
+                outcome.rejected,
+                outcome.aborted,
+                r.asked,
+                r.untrue,
+                r.doubled,
+                if outcome.is_kept() { "kept".to_owned() } else { format!("{:?}", outcome.broken) }
+            );
+            if outcome.is_kept() {
+                passed += 1;
+            } else {
+                failed += 1;
+            }
+        }
+    }
+    println!("{passed} passed, {failed} failed");
+    Ok(failed == 0)
+}
+
 fn main() -> ExitCode {
     let done = match Line::parse().command {
+        Command::Fleet {
+            arguments,
+            scene,
+            script,
+        } => fleet_scene(&arguments, &scene, script.as_ref()),
+        Command::TrialFleet { arguments, seeds } => trial_fleet(&arguments, seeds),
         Command::Demo {
             common,
             seconds,
--- /dev/null
+++ b/crates/lab/src/relay.rs
@@ -0,0 +1,85 @@
+//! Links between drivers: each pair's datagrams go through sockets of the laboratory, which cut, slow, lose and garble them
+//! as the script says.
+
+use crate::member::{lock, Shared};
+use crate::script::Way;
+use crate::wire::unix;
+use asterlatch::time::Point;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Ends the link's threads when it is dropped.
+pub struct Link {
+    /// Where the first finds the second, and where the second finds the first.
+    pub at: (SocketAddr, SocketAddr),
+    ends: Arc<AtomicBool>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.ends.store(true, Ordering::Release);
+    }
+}
+
+/// How often a link looks whether anything is due.
+const LOOK: Duration = Duration::from_millis(1);
+
+/// Between drivers `n`, whose own sockets are at `own`.
+pub fn start(store: &Shared, n: (u32, u32), own: (SocketAddr, SocketAddr), seed: u64) -> io::Result<Link> {
+    let bind = || UdpSocket::bind("127.0.0.1:0");
+    let (near, far) = (bind()?, bind()?);
+    let at = (near.local_addr()?, far.local_addr()?);
+    let ends = Arc::new(AtomicBool::new(false));
+    // What comes in at one leaves from the other, so that each sees the address that it knows.
+    let ways = [
+        (near.try_clone()?, far.try_clone()?, n.0, n.1, own.1),
+        (far, near, n.1, n.0, own.0),
+    ];
+    for (k, (from, by, one, other, to)) in ways.into_iter().enumerate() {
+        from.set_read_timeout(Some(LOOK))?;
+        let (store, ends) = (store.clone(), ends.clone());
+        let mut chance =
+            fastrand::Rng::with_seed(seed ^ (u64::from(one) << 32 | u64::from(other)) ^ k as u64);
+        thread::spawn(move || {
+            let mut waiting: BTreeMap<(Point, u64), Vec<u8>> = BTreeMap::new();
+            let (mut buffer, mut count) = ([0; 2048], 0);
+            while !ends.load(Ordering::Acquire) {
+                let came = from.recv(&mut buffer);
+                let now = unix();
+                if let Ok(length) = came {
+                    let way = {
+                        let store = lock(&store);
+                        store.script.way(now - store.started, one, other)
+                    };
+                    if let Some(bytes) = passes(&mut chance, way, &buffer[..length]) {
+                        count += 1;
+                        waiting.insert((now + way.slow, count), bytes);
+                    }
+                }
+                while let Some(due) = waiting.first_entry().filter(|e| e.key().0 <= now) {
+                    // A driver that is down hears nothing.
+                    let _ = by.send_to(&due.remove(), to);
+                }
+            }
+        });
+    }
+    Ok(Link { at, ends })
+}
+
+/// What comes through of a datagram.
+fn passes(chance: &mut fastrand::Rng, way: Way, bytes: &[u8]) -> Option<Vec<u8>> {
+    if way.cut || chance.u32(0..1000) < way.loses {
+        return None;
+    }
+    let mut bytes = bytes.to_vec();
+    if !bytes.is_empty() && chance.u32(0..1000) < way.garbles {
+        let at = chance.usize(0..bytes.len());
+        bytes[at] ^= 1 << chance.u8(0..8);
+    }
+    Some(bytes)
+}
--- /dev/null
+++ b/crates/lab/src/roam.rs
@@ -0,0 +1,209 @@
+//! Clients that have several drivers to ask: each session mostly stays with one, and whoever gets no answer, or is told
+//! to come again, repeats the same statement at another.
+
+use crate::arrivals::{Arrival, Arrivals};
+use crate::judge::{Record, Told};
+use crate::load::answer;
+use crate::member::{lock, pause, Shared};
+use crate::store::Kind;
+use crate::wire::{greet, message, unix};
+use asterlatch::time::{Point, Span};
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// One of a client's tries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Try {
+    /// From 1.
+    pub driver: u32,
+    pub sent: Point,
+    pub ended: Point,
+    pub told: Told,
+    /// The client went away before its time was over.
+    pub left: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Roamed {
+    pub record: Record,
+    pub tries: Vec<Try>,
+}
+
+/// How clients behave, in thousandths.
+#[derive(Clone, Copy, Debug)]
+pub struct Manners {
+    /// Ask at another driver than their session's.
+    pub roam: u32,
+    /// Go away from a write soon after they have sent it, and repeat it elsewhere.
+    pub hasty: u32,
+}
+
+/// A hasty client goes away within this, in microseconds: its write may lie unread, be out, or be done by then.
+const HASTE: u64 = 5000;
+/// Between a rejection and the next try.
+const AGAIN: Span = Span::millis(20);
+const MOST_TRIES: usize = 4;
+
+pub struct Load(Vec<JoinHandle<Vec<Roamed>>>);
+
+pub fn start(
+    store: &Shared,
+    drivers: &[SocketAddr],
+    arrivals: Arrivals,
+    from: Point,
+    (clients, manners, seed): (usize, Manners, u64),
+) -> Load {
+    let arrivals = Arc::new(Mutex::new(arrivals));
+    let client = |n: usize| {
+        let (arrivals, store, drivers) = (arrivals.clone(), store.clone(), drivers.to_vec());
+        thread::spawn(move || {
+            let mut client = Client {
+                drivers,
+                store,
+                kept: BTreeMap::new(),
+                chance: fastrand::Rng::with_seed(seed << 16 | n as u64),
+                manners,
+            };
+            let next = || arrivals.lock().unwrap_or_else(PoisonError::into_inner).next();
+            let mut all = Vec::new();
+            while let Some(arrival) = next() {
+                let due = from + arrival.at;
+                pause(due - unix());
+                all.push(client.ask(&arrival, due));
+            }
+            all
+        })
+    };
+    Load((0..clients).map(client).collect())
+}
+
+impl Load {
+    pub fn finish(self) -> Vec<Roamed> {
+        let ended = self.0.into_iter().filter_map(|client| client.join().ok());
+        let mut all: Vec<Roamed> = ended.flatten().collect();
+        all.sort_by_key(|r| (r.record.due, r.record.id));
+        all
+    }
+}
+
+struct Client {
+    drivers: Vec<SocketAddr>,
+    store: Shared,
+    kept: BTreeMap<usize, TcpStream>,
+    chance: fastrand::Rng,
+    manners: Manners,
+}
+
+impl Client {
+    fn connect(&mut self, driver: usize, wait: Duration) -> io::Result<TcpStream> {
+        if let Some(stream) = self.kept.remove(&driver) {
+            // One that its driver has closed meanwhile is known by its end.
+            stream.set_nonblocking(true)?;
+            let ended = !matches!(stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+            stream.set_nonblocking(false)?;
+            if !ended {
+                return Ok(stream);
+            }
+        }
+        let mut stream = TcpStream::connect_timeout(&self.drivers[driver], wait)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(wait))?;
+        greet(&mut stream)?;
+        Ok(stream)
+    }
+
+    fn ask(&mut self, arrival: &Arrival, due: Point) -> Roamed {
+        let (name, kind, patience) = {
+            let store = lock(&self.store);
+            let w = &store.workloads[arrival.workload];
+            (w.name, w.kind, w.patience)
+        };
+        let until = unix() + patience;
+        let writes = matches!(kind, Kind::Write { .. });
+        let count = self.drivers.len();
+        let home = arrival.session as usize % count;
+        let roams = self.chance.u32(0..1000) < self.manners.roam;
+        let mut driver = if roams { self.chance.usize(0..count) } else { home };
+        let hasty = writes && self.chance.u32(0..1000) < self.manners.hasty;
+        let mut tries: Vec<Try> = Vec::new();
+        let (mut told, mut sent, mut refused) = (Told::Refused, unix(), 0);
+        while tries.len() < MOST_TRIES && unix() + Span::millis(5) < until {
+            let left = until - unix();
+            let wait = Duration::from_micros(left.0.max(1000));
+            let Ok(mut stream) = self.connect(driver, wait.min(Duration::from_millis(200))) else {
+                // Nothing was sent there.
+                driver = (driver + 1) % count;
+                refused += 1;
+                if refused % count == 0 {
+                    pause(Span::millis(5));
+                }
+                continue;
+            };
+            let again = if tries.is_empty() { "" } else { ",r=1" };
+            let (id, group, key) = (arrival.id, arrival.group, arrival.session);
+            let head = format!(
+                "/* id={id:x},c={name},d={},cluster={group}{again} */",
+                left.0 / 1000
+            );
+            let text = if writes {
+                format!("{head} INSERT INTO rows (handle, blob) VALUES ('s{key}', 'x') RETURNING blob\0")
+            } else {
+                format!("{head} SELECT blob FROM rows WHERE handle = 's{key}'\0")
+            };
+            let goes = hasty && tries.is_empty();
+            // A driver's answer may take its slack, and is looked for a little beyond.
+            let listen = Duration::from_micros(left.0 + 300_000);
+            let _ = stream.set_read_timeout(Some(listen));
+            sent = unix();
+            let query = message(b'Q', text.as_bytes());
+            let asked = stream.write_all(&query);
+            if goes {
+                // Whatever comes of it is lost.
+                pause(Span(self.chance.u64(0..HASTE)));
+            }
+            let heard = asked.and_then(|()| {
+                if goes {
+                    Err(ErrorKind::TimedOut.into())
+                } else {
+                    answer(&mut stream)
+                }
+            });
+            told = match heard {
+                Ok(told) => {
+                    self.kept.insert(driver, stream);
+                    told
+                }
+                Err(_) => Told::Nothing,
+            };
+            tries.push(Try {
+                driver: driver as u32 + 1,
+                sent,
+                ended: unix(),
+                told,
+                left: goes,
+            });
+            match told {
+                Told::Nothing => {}
+                Told::Rejected => pause(AGAIN),
+                _ => break,
+            }
+            driver = (driver + 1 + self.chance.usize(0..count)) % count;
+        }
+        let record = Record {
+            id: arrival.id,
+            workload: arrival.workload,
+            group: arrival.group,
+            session: arrival.session,
+            due,
+            sent,
+            answered: unix(),
+            told,
+            more: false,
+        };
+        Roamed { record, tries }
+    }
+}
--- a/crates/lab/src/scene.rs
+++ b/crates/lab/src/scene.rs
@@ -5,7 +5,7 @@
 use crate::script::Script;
 use crate::store::{Kind, Store};
 use crate::wire::{greet, message, read, unix};
-use serde_json::json;
+use serde_json::{json, Value};
 use std::fs::File;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -26,8 +26,63 @@
     logs: u32,
 }
 
+/// A driver's configuration: its name, where it listens and where discovery is, what it knows, and how many there are.
+pub fn described(
+    store: &Shared,
+    (name, listen, discovery): (&str, SocketAddr, SocketAddr),
+    known: Value,
+    drivers: u32,
+) -> Value {
+    let (workloads, checks) = {
+        let store = lock(store);
+        (store.workloads.clone(), store.checks)
+    };
+    let each = |f: fn(&Kind) -> Value| -> Vec<_> { workloads.iter().map(|w| f(&w.kind)).collect() };
+    let categories: Vec<_> = workloads
+        .iter()
+        .map(|w| {
+            let repeat = match w.kind {
+                Kind::Write { dropped: false } => "fragile",
+                Kind::Write { dropped: true } => "dedup",
+                _ => "retryable",
+            };
+            json!({"name": w.name, "idempotency": repeat, "objective_us": w.patience.0 / 2, "worth": 1.0,
+                "late_worth": 0.3, "key_scope": "all", "window_us": 2_000_000})
+        })
+        .collect();
+    json!({
+        "name": name, "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "7",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": known,
+        "settings": {
+            "categories": categories, "zones": ["heredia", "cartago"], "tick_us": 5000, "peers_total": drivers,
+            "family_info": {
+                "freshness": each(|k| match k {
+                    Kind::Any => "loose", Kind::Bounded(_) => "recent", Kind::Own => "own_writes",
+                    Kind::Write { .. } => "update",
+                }.into()),
+                "staleness_bound_us": each(|k| match k { Kind::Bounded(b) => b.0, _ => 0 }.into()),
+                "behind": if checks { "reject" } else { "off" }, "tokens": "router", "answers_stamped": true,
+            },
+            "limits": {"cancel": true, "probes": true, "try_limit": 4, "connect_timeout_us": 200_000,
+                "conn_idle_us": 30_000_000, "retry_after": true, "max_retry_after_us": 200_000},
+            "rules": {"tip_multiple": 4, "fall_us": 2_000_000, "cold_from": 0.2, "warm_within_us": 3_000_000},
+            "report": {"fields": ["x0", "x1"], "how": "on_probe"},
+        },
+    })
+}
+
+/// Whether a program at this address answers.
+pub fn is_up(listen: SocketAddr) -> io::Result<()> {
+    let mut stream = TcpStream::connect(listen)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    greet(&mut stream)?;
+    stream.write_all(&message(b'Q', b"\0"))?;
+    read(&mut stream, true).map(drop)
+}
+
 /// How long a program may take to begin.
-const PATIENCE: Duration = Duration::from_secs(20);
+pub const PATIENCE: Duration = Duration::from_secs(20);
 
 impl Scene {
     /// Puts members and discovery up and starts the program, whose log and files lie in `folder`.
@@ -45,44 +100,11 @@
         let members: Vec<u32> = lock(&store).members().collect();
         let started = members.into_iter().map(|m| Ok((m, member::start(&store, m)?)));
         let addresses: discovery::Addresses = started.collect::<io::Result<_>>()?;
-        let discovery = discovery::start(&store, &addresses)?;
+        let discovery = discovery::start(&store, &addresses, 0)?;
         // Bound for a moment, so that the system picks the port.
         let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let workloads = lock(&store).workloads.clone();
-        let each =
-            |f: fn(&Kind) -> serde_json::Value| -> Vec<_> { workloads.iter().map(|w| f(&w.kind)).collect() };
-        let categories: Vec<_> = workloads
-            .iter()
-            .map(|w| {
-                let repeat = match w.kind {
-                    Kind::Write { dropped: false } => "fragile",
-                    Kind::Write { dropped: true } => "dedup",
-                    _ => "retryable",
-                };
-                json!({"name": w.name, "idempotency": repeat, "objective_us": w.patience.0 / 2, "worth": 1.0,
-                    "late_worth": 0.3, "key_scope": "all", "window_us": 2_000_000})
-            })
-            .collect();
-        let config = json!({
-            "name": "lab", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "7",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": discovery::listed(&store, &addresses),
-            "settings": {
-                "categories": categories, "zones": ["heredia", "cartago"], "tick_us": 5000, "peers_total": 1,
-                "family_info": {
-                    "freshness": each(|k| match k {
-                        Kind::Any => "loose", Kind::Bounded(_) => "recent", Kind::Own => "own_writes",
-                        Kind::Write { .. } => "update",
-                    }.into()),
-                    "staleness_bound_us": each(|k| match k { Kind::Bounded(b) => b.0, _ => 0 }.into()),
-                    "behind": if checks { "reject" } else { "off" }, "tokens": "router", "answers_stamped": true,
-                },
-                "limits": {"cancel": true, "probes": true, "try_limit": 4, "connect_timeout_us": 200_000,
-                    "conn_idle_us": 30_000_000, "retry_after": true, "max_retry_after_us": 200_000},
-                "rules": {"tip_multiple": 4, "fall_us": 2_000_000, "cold_from": 0.2, "warm_within_us": 3_000_000},
-                "report": {"fields": ["x0", "x1"], "how": "on_probe"},
-            },
-        });
+        let known = discovery::listed(&store, &addresses);
+        let config = described(&store, ("lab", listen, discovery), known, 1);
         std::fs::write(folder.join("config.json"), config.to_string())?;
         let times =
             "upgrade(hello = 5s, ready = 5s, taken = 1s, probation = 500ms, beat = 100ms, silence = 2s)\n";
@@ -124,7 +146,7 @@
         self.pid = child.id();
         self.child = Some(child);
         let end = Instant::now() + PATIENCE;
-        while let Err(e) = self.is_up() {
+        while let Err(e) = is_up(self.listen) {
             if Instant::now() > end {
                 return Err(io::Error::other(format!("the program doesn't serve: {e}")));
             }
@@ -133,13 +155,6 @@
         Ok(())
     }
 
-    fn is_up(&self) -> io::Result<()> {
-        let mut stream = TcpStream::connect(self.listen)?;
-        greet(&mut stream)?;
-        stream.write_all(&message(b'Q', b"\0"))?;
-        read(&mut stream, true).map(drop)
-    }
-
     /// Has a new process take over; what was said of it.
     pub fn upgrade(&mut self) -> io::Result<String> {
         let output = Command::new(&self.driver)
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -4,6 +4,12 @@
 //! 2s member 3 slow 50ms for 1s
 //! 3s primary of 1 hangs for 500ms
 //! 4s group 2 switches to 7
+//! 5s driver 2 is killed for 3s
+//! 5s driver 3 stops for 1s
+//! 5s driver 1 hears no list for 4s
+//! 6s link 1 to 2 is cut for 2s
+//! 6s split 1 2 from 3 4 5 for 8s
+//! 7s links lose 30% for 5s
 //! ```
 //!
 //! Times count from the start. What holds at a moment is asked of the script; nothing is remembered.
@@ -35,7 +41,7 @@
     Primary(u32),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     Fault {
         target: Target,
@@ -45,6 +51,51 @@
     },
     /// The group's primary changes.
     Switch { group: u32, to: u32, at: Span },
+    /// Of the program's processes, numbered from 1.
+    Driver {
+        driver: u32,
+        outage: Outage,
+        from: Span,
+        until: Span,
+    },
+    /// Between processes of the program; nobody named means all.
+    Link {
+        from_drivers: Vec<u32>,
+        to_drivers: Vec<u32>,
+        both_ways: bool,
+        harm: Harm,
+        from: Span,
+        until: Span,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// SIGKILL, and begun anew at the end.
+    Killed,
+    /// SIGSTOP, and SIGCONT at the end.
+    Stopped,
+    /// Discovery tells it nothing new.
+    NoList,
+}
+
+/// What a link does to datagrams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Harm {
+    Cut,
+    Slow(Span),
+    /// In thousandths.
+    Loses(u32),
+    Garbles(u32),
+}
+
+/// What holds of a link in one direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Way {
+    pub cut: bool,
+    pub slow: Span,
+    pub loses: u32,
+    pub garbles: u32,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -71,10 +122,107 @@
     text.parse().map_err(|_| format!("'{text}' is no number"))
 }
 
+/// `30%`, in thousandths.
+fn share(text: &str) -> Result<u32, String> {
+    let number = text.strip_suffix('%').and_then(|n| n.parse::<f64>().ok());
+    let number = number.filter(|n| (0.0..=100.0).contains(n));
+    let number = number.ok_or_else(|| format!("'{text}' is no share like 30%"))?;
+    Ok((number * 10.0) as u32)
+}
+
+fn numbers(words: &[&str]) -> Result<Vec<u32>, String> {
+    words.iter().map(|w| number(w)).collect()
+}
+
+/// From then on for as long as the line's last words say.
+fn lasting(at: Span, rest: &[&str]) -> Result<(Span, Span), String> {
+    match rest {
+        ["for", long] => Ok((at, Span(at.0 + span(long)?.0))),
+        _ => Err("doesn't say for how long".to_owned()),
+    }
+}
+
+/// What concerns the program's processes and the links between them; nothing where the line is of other things.
+fn of_fleet(at: Span, words: &[&str]) -> Result<Option<Event>, String> {
+    let (driver, rest) = match words {
+        ["driver", n, rest @ ..] => (number(n)?, rest),
+        ["link", a, way @ ("to" | "and"), b, rest @ ..] => {
+            let (harm, rest) = harm(rest)?;
+            let (from, until) = lasting(at, rest)?;
+            return Ok(Some(Event::Link {
+                from_drivers: vec![number(a)?],
+                to_drivers: vec![number(b)?],
+                both_ways: *way == "and",
+                harm,
+                from,
+                until,
+            }));
+        }
+        ["links", rest @ ..] => {
+            let (harm, rest) = harm(rest)?;
+            let (from, until) = lasting(at, rest)?;
+            return Ok(Some(Event::Link {
+                from_drivers: Vec::new(),
+                to_drivers: Vec::new(),
+                both_ways: true,
+                harm,
+                from,
+                until,
+            }));
+        }
+        ["split", rest @ ..] => {
+            let middle = rest
+                .iter()
+                .position(|w| *w == "from")
+                .ok_or("a split is 'from' others")?;
+            let end = rest
+                .iter()
+                .position(|w| *w == "for")
+                .ok_or("doesn't say for how long")?;
+            let (from, until) = lasting(at, &rest[end..])?;
+            return Ok(Some(Event::Link {
+                from_drivers: numbers(&rest[..middle])?,
+                to_drivers: numbers(rest.get(middle + 1..end).unwrap_or_default())?,
+                both_ways: true,
+                harm: Harm::Cut,
+                from,
+                until,
+            }));
+        }
+        _ => return Ok(None),
+    };
+    let (outage, rest) = match rest {
+        ["is", "killed", rest @ ..] => (Outage::Killed, rest),
+        ["stops", rest @ ..] => (Outage::Stopped, rest),
+        ["hears", "no", "list", rest @ ..] => (Outage::NoList, rest),
+        _ => return Err("names nothing that befalls a driver: is killed, stops, hears no list".to_owned()),
+    };
+    let (from, until) = lasting(at, rest)?;
+    Ok(Some(Event::Driver {
+        driver,
+        outage,
+        from,
+        until,
+    }))
+}
+
+fn harm<'a, 'b>(words: &'b [&'a str]) -> Result<(Harm, &'b [&'a str]), String> {
+    match words {
+        ["is" | "are", "cut", rest @ ..] => Ok((Harm::Cut, rest)),
+        ["slow", by, rest @ ..] => Ok((Harm::Slow(span(by)?), rest)),
+        ["lose" | "loses", part, rest @ ..] => Ok((Harm::Loses(share(part)?), rest)),
+        ["garble" | "garbles", part, rest @ ..] => Ok((Harm::Garbles(share(part)?), rest)),
+        _ => Err("names nothing that befalls a link: is cut, slow, loses, garbles".to_owned()),
+    }
+}
+
 fn event(line: &str) -> Result<Event, String> {
     let words: Vec<&str> = line.split_whitespace().collect();
     let (at, rest) = words.split_first().ok_or("is empty")?;
     let at = span(at)?;
+    if let Some(event) = of_fleet(at, rest)? {
+        return Ok(event);
+    }
     let (target, rest) = match rest {
         ["group", g, "switches", "to", m] => {
             let (group, to) = (number(g)?, number(m)?);
@@ -82,7 +230,7 @@
         }
         ["member", m, rest @ ..] => (Target::Member(number(m)?), rest),
         ["primary", "of", g, rest @ ..] => (Target::Primary(number(g)?), rest),
-        _ => return Err("names neither member, primary nor group".to_owned()),
+        _ => return Err("names neither member, primary, group, driver, link nor split".to_owned()),
     };
     let (fault, rest) = match rest {
         ["slow", by, rest @ ..] => (Fault::Slow(span(by)?), rest),
@@ -165,4 +313,58 @@
         });
         times.flatten().filter(|at| *at > now).min()
     }
+
+    /// What befalls drivers, in the order of their beginnings.
+    pub fn outages(&self) -> Vec<(u32, Outage, Span, Span)> {
+        let all = self.0.iter().filter_map(|e| match e {
+            Event::Driver {
+                driver,
+                outage,
+                from,
+                until,
+            } => Some((*driver, *outage, *from, *until)),
+            _ => None,
+        });
+        let mut all: Vec<_> = all.collect();
+        all.sort_by_key(|(n, _, from, _)| (*from, *n));
+        all
+    }
+
+    pub fn befalls(&self, now: Span, driver: u32, outage: Outage) -> bool {
+        let own = |(n, o, from, until): &(u32, Outage, Span, Span)| {
+            *n == driver && *o == outage && (*from..*until).contains(&now)
+        };
+        self.outages().iter().any(own)
+    }
+
+    /// What holds now of what goes from one driver to another.
+    pub fn way(&self, now: Span, one: u32, other: u32) -> Way {
+        let mut way = Way::default();
+        for event in &self.0 {
+            let Event::Link {
+                from_drivers,
+                to_drivers,
+                both_ways,
+                harm,
+                from,
+                until,
+            } = event
+            else {
+                continue;
+            };
+            let among = |list: &[u32], n: u32| list.is_empty() || list.contains(&n);
+            let there = among(from_drivers, one) && among(to_drivers, other);
+            let back = *both_ways && among(from_drivers, other) && among(to_drivers, one);
+            if !(*from..*until).contains(&now) || !(there || back) {
+                continue;
+            }
+            match harm {
+                Harm::Cut => way.cut = true,
+                Harm::Slow(by) => way.slow = way.slow.max(*by),
+                Harm::Loses(part) => way.loses = way.loses.max(*part),
+                Harm::Garbles(part) => way.garbles = way.garbles.max(*part),
+            }
+        }
+        way
+    }
 }
--- a/crates/shared/src/doubts.rs
+++ b/crates/shared/src/doubts.rs
@@ -25,6 +25,8 @@
 struct Note {
     sent: Point,
     member: String,
+    /// How often it went out without proof that it didn't run.
+    unproven: u32,
 }
 
 /// What one driver has sent, as far back as a client may repeat.
@@ -37,7 +39,7 @@
     blank_until: Point,
     sent: BTreeMap<u64, Note>,
     /// Ids that another driver has asked about: it may run them by now.
-    given: BTreeSet<u64>,
+    given: BTreeMap<u64, Point>,
     order: VecDeque<(Point, u64)>,
     /// When the newest was sent that had to be forgotten for want of room.
     forgotten: Option<Point>,
@@ -51,7 +53,7 @@
             most: most.max(1),
             blank_until: if follows { now + window } else { now },
             sent: BTreeMap::new(),
-            given: BTreeSet::new(),
+            given: BTreeMap::new(),
             order: VecDeque::new(),
             forgotten: None,
         }
@@ -68,32 +70,42 @@
     /// It goes out now, and may run from here on.
     pub fn sends(&mut self, now: Point, id: u64, member: &str) {
         self.age(now);
-        if self.sent.contains_key(&id) {
+        if let Some(note) = self.sent.get_mut(&id) {
+            note.unproven += 1;
             return;
         }
-        let (sent, member) = (now, member.to_owned());
-        self.sent.insert(id, Note { sent, member });
+        let note = Note {
+            sent: now,
+            member: member.to_owned(),
+            unproven: 1,
+        };
+        self.sent.insert(id, note);
         self.order.push_back((now, id));
         self.make_room();
     }
 
-    /// Every time it went out is proven to have left it untouched.
+    /// One time that it went out is proven to have left it untouched.
     pub fn untouched(&mut self, id: u64) {
-        self.sent.remove(&id);
+        let Some(note) = self.sent.get_mut(&id) else {
+            return;
+        };
+        note.unproven = note.unproven.saturating_sub(1);
+        if note.unproven == 0 {
+            self.sent.remove(&id);
+        }
     }
 
     /// Another driver may run it: it must not be sent from here.
     pub fn give_away(&mut self, now: Point, id: u64) {
         self.age(now);
-        if self.given.insert(id) {
-            self.order.push_back((now, id));
-            self.make_room();
-        }
+        self.given.insert(id, now);
+        self.order.push_back((now, id));
+        self.make_room();
     }
 
     /// Whether another driver asked about it, and it must not be sent from here.
     pub fn is_given(&self, id: u64) -> bool {
-        self.given.contains(&id)
+        self.given.contains_key(&id)
     }
 
     fn age(&mut self, now: Point) {
@@ -108,9 +120,16 @@
         }
     }
 
-    fn drop_one(&mut self, _at: Point, id: u64) {
-        self.sent.remove(&id);
-        self.given.remove(&id);
+    /// An id may stand in the order more than once: sent again after it was proven untouched, or given away.
+    fn drop_one(&mut self, at: Point, id: u64) {
+        self.sent
+            .remove(&id)
+            .filter(|n| n.sent > at)
+            .map(|n| self.sent.insert(id, n));
+        self.given
+            .remove(&id)
+            .filter(|given| *given > at)
+            .map(|at| self.given.insert(id, at));
     }
 
     fn make_room(&mut self) {
@@ -118,7 +137,7 @@
             let Some((at, id)) = self.order.pop_front() else {
                 return;
             };
-            if self.sent.contains_key(&id) || self.given.contains(&id) {
+            if self.sent.contains_key(&id) || self.given.contains_key(&id) {
                 self.forgotten = self.forgotten.max(Some(at));
             }
             self.drop_one(at, id);
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -216,6 +216,7 @@
                         repeat: bits & 2 != 0,
                         left: Span(left.into()),
                         work: (bits & 1 != 0).then_some(Span(work.into())),
+                        doubted: None,
                         written_ago: (ago > 0.0).then(|| Span((f64::from(ago) * 1000.0) as u64)),
                     },
                 )
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,6 +4,7 @@
 //! order, again and again, until none fires.
 
 use crate::fleet::{self, Fleet, Zones};
+use crate::health::{GOOD_PACE, NEWEST};
 use crate::interface::Ending::*;
 use crate::interface::*;
 use crate::state::*;
@@ -22,29 +23,13 @@
 const UNSENT: f64 = 0.45;
 /// Before another try where the same members are all there is.
 const RETRY: Span = Span::millis(50);
-/// Bounds on concurrency: mean time of answers to the SLO time.
-const GOOD_PACE: f64 = 0.28;
-const BAD_PACE: f64 = 0.38;
 /// What a late execution counts at most: a few stuck ones don't make a member crowded.
 const LATE_COUNTS: f64 = 0.8;
-const CUT: f64 = 0.85;
-const GROWTH: f64 = 0.5;
-/// Share of what a member has borne in good time that a bound keeps: slowness is not always crowding.
-const SEEN_TO_WORK: f64 = 0.3;
 /// Answers of a member in the rule's window under which a driver can't tell what that one bears and lets in
-/// a share of statements instead: how far an answer pulls it, from which part of the SLO time, and its least.
+/// a share of statements instead.
 const SPARSE: usize = 5;
-const PULL: f64 = 0.6;
-const AIMED: f64 = 0.4;
-const LEAST_SHARE: f64 = 0.05;
-/// Dense views: credit for good answers, so that a lone failure at each member doesn't leave statements out.
-const CREDIT: f64 = 2.0;
-/// How far other replicas of the group follow such a pull, for they mostly suffer together.
-const ALIKE: f64 = 0.2;
 /// Mean share let in at a group under which its failures are taken for common ones.
 const COMMON: f64 = 0.5;
-/// Weight of the newest figure in a smoothed one.
-const NEWEST: f64 = 0.15;
 /// New connections are spared while setting them up takes this part of the SLO time more than usual.
 const DEAR: f64 = 0.15;
 /// Sessions whose last commit is remembered where it isn't carried.
@@ -112,7 +97,7 @@
 }
 
 /// The proof table: endings after which the statement is known not to have run.
-fn never_ran(ending: Ending) -> bool {
+pub fn never_ran(ending: Ending) -> bool {
     matches!(ending, TurnedAway | NoConnection | NeverSent | Missed)
 }
 
@@ -187,6 +172,22 @@
         self.settle()
     }
 
+    /// What a member has told another driver of itself, so long ago: nothing of how this one fares with it.
+    pub fn sighting_told(&mut self, now: Point, member: u32, ago: Span, s: Sighting) -> Results {
+        self.hear(now);
+        if let Some(&m) = self.members.index.get(&member) {
+            self.learn_sighting(m, ago, ago, s);
+            self.changed.insert(self.members.group[m]);
+            self.touched.push(m);
+        }
+        self.settle()
+    }
+
+    /// Where a session's last write was committed that another driver carried.
+    pub fn session_told(&mut self, session: u64, position: Point) {
+        self.sessions.note(session, position, SESSIONS_KEPT);
+    }
+
     pub fn statement_taken(&mut self, now: Point, s: &Statement) -> Results {
         self.hear(now);
         let group = self.groups.at(s.group);
@@ -230,10 +231,17 @@
             answer_by: now + (s.left - slack),
             send_by: now + s.left,
             unsent_by: now + s.left * UNSENT,
+            doubt: s
+                .doubted
+                .map(|(ago, m)| (now - ago, self.members.index.get(&m).copied().unwrap_or(0))),
             ..Stmt::default()
         };
         self.stmts.insert(s.id, stmt);
-        self.queue(s.id);
+        if self.may_run_again(s.id) {
+            self.queue(s.id);
+        } else {
+            self.finish(s.id);
+        }
         self.settle()
     }
 
@@ -248,7 +256,7 @@
         self.hear(now);
         if let Some(run) = self.running.remove(&(end.stmt, end.number)) {
             (!run.lost).then(|| self.learn_health(&run, end));
-            self.learn_sighting(run.member, end.took, end.sighting);
+            self.learn_sighting(run.member, end.took, Span(0), end.sighting);
             self.learn_commit(&run, end);
             if end.settled {
                 self.forget(end.stmt);
@@ -273,7 +281,7 @@
                     let lost = runs.fold(0, |n, r| n + usize::from(r.lose(m, before)));
                     (f.open[m], f.connections[m]) = (f.open[m] - lost, f.connections[m].saturating_sub(lost));
                 }
-                self.learn_sighting(m, took, s);
+                self.learn_sighting(m, took, Span(0), s);
             }
         }
         self.settle()
@@ -347,11 +355,12 @@
 
     /// Newest evidence wins by the position it was given at, not by when it arrived: a primary stands at the
     /// present, so one that spoke as primary at a later position has taken over since.
-    fn learn_sighting(&mut self, m: usize, took: Span, s: Sighting) {
+    fn learn_sighting(&mut self, m: usize, took: Span, ago: Span, s: Sighting) {
         let f = &mut self.members;
         let g = &mut self.groups[f.group[m]];
-        if let Some(position) = s.position {
-            (f.position[m], f.told_at[m]) = (f.position[m].max(position), Some(self.now));
+        // Told by itself it is news whatever it says; told by others only where it says more.
+        if let Some(position) = s.position.filter(|p| ago == Span(0) || *p > f.position[m]) {
+            (f.position[m], f.told_at[m]) = (f.position[m].max(position), Some(self.now - ago));
         }
         let at = s.position.unwrap_or(self.now - took);
         if s.is_primary == Some(true) && at >= g.primary_at {
@@ -425,25 +434,11 @@
             _ => Some(took).filter(|_| sparse && timed),
         };
         if let Some(share) = share {
-            let follow = sparse && timed && g.primary != Some(m);
-            let pulled = |n: &&usize| **n == m || follow && g.primary != Some(**n);
-            for &n in g.members.iter().filter(pulled) {
-                let pull = PULL * (AIMED - share) * if n == m { 1.0 } else { ALIKE };
-                let most = if sparse { 1.0 } else { CREDIT };
-                f.let_in[n] = (f.let_in[n] * pull.exp()).clamp(LEAST_SHARE, most);
-            }
-        }
-        let used = (f.open[m] + 1) as f64 >= f.limit[m] / 2.0;
-        let good = end.ending == Completed && f.pace[m] < GOOD_PACE;
-        if good {
-            f.proven[m] += NEWEST * ((f.open[m] + 1) as f64 - f.proven[m]);
-        }
-        if good && used {
-            f.limit[m] += GROWTH / f.limit[m].sqrt();
-        } else if f.pace[m] > BAD_PACE && now - f.cut_at[m] > *typical && !sparse {
-            f.limit[m] = (f.limit[m] * CUT).max(f.proven[m] * SEEN_TO_WORK).max(1.0);
-            f.cut_at[m] = now;
+            let follow =
+                |n: &&usize| sparse && timed && **n != m && ![Some(m), Some(**n)].contains(&g.primary);
+            f.pull(m, g.members.iter().filter(follow), share, sparse);
         }
+        f.bound(m, now, end.ending == Completed, *typical, sparse);
     }
 
     /// What becomes of a statement whose execution ended without settling it.
@@ -453,18 +448,11 @@
         if !never_ran(end.ending) {
             s.doubt = s.doubt.or(Some((run.sent, run.member)));
         }
-        let w = &self.settings.workloads[s.workload];
-        let open_to = match w.repeat {
-            Repeat::Idempotent => true,
-            Repeat::NonIdempotent => s.doubt.is_none(),
-            Repeat::Deduplicated => {
-                s.send_by = s.doubt.map_or(s.send_by, |(sent, _)| sent + w.window);
-                self.now < s.send_by
-            }
-        };
-        if !open_to || s.executions >= self.settings.max_executions {
+        let out_of = s.executions >= self.settings.max_executions;
+        if !self.may_run_again(end.stmt) || out_of {
             return self.finish(end.stmt);
         }
+        let s = self.stmts.get_mut(&end.stmt).expect("seen above");
         s.avoid.push(run.member);
         // Else failures that all share would have each statement executed everywhere.
         s.bar = if end.ending == Missed { s.bar } else { s.bar.sqrt() };
@@ -482,6 +470,22 @@
         self.queue(end.stmt);
     }
 
+    /// Whether it may go out, once more or after another driver's time.
+    fn may_run_again(&mut self, id: u32) -> bool {
+        let Some(s) = self.stmts.get_mut(&id) else {
+            return false;
+        };
+        let w = &self.settings.workloads[s.workload];
+        match w.repeat {
+            Repeat::Idempotent => true,
+            Repeat::NonIdempotent => s.doubt.is_none(),
+            Repeat::Deduplicated => {
+                s.send_by = s.doubt.map_or(s.send_by, |(sent, _)| sent + w.window);
+                self.now < s.send_by
+            }
+        }
+    }
+
     /// Every statement has its final answer before the client's time is up, whatever else happens.
     fn answer_in_time(&mut self) -> bool {
         let due = self.due.ready(self.now);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -102,6 +102,8 @@
     pub work: Option<Span>,
     /// How long ago the session's last write was committed, where that is carried.
     pub written_ago: Option<Span>,
+    /// Another driver has sent it, or may have: so long ago at the most, and first to this member.
+    pub doubted: Option<(Span, u32)>,
 }
 
 /// How an execution ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod choice;
 pub mod fleet;
+pub mod health;
 pub mod interface;
 mod state;
 pub mod time;
