--- a/crates/config/src/host.rs
+++ b/crates/config/src/host.rs
@@ -153,6 +153,8 @@
             "how long the others' word on a repeated statement is waited for, and never over 0.3 of its time";
         "window": "1s" to "1h" = "30s", NextStart, TWICE, [],
             "how long after its first sending a client may repeat a statement";
+        "keep": "0s" to "10min" = "0s", NextStart, NONE, [],
+            "between two writings of what has changed to the folder given with `--state`; 0 keeps nothing";
         "ids": "1000" to "1000000" = "65536", NextStart, TWICE, [],
             "statements whose sending is remembered for that; beyond it repeats are in doubt";
     } },
--- a/crates/driver/src/program/mod.rs
+++ b/crates/driver/src/program/mod.rs
@@ -3,6 +3,7 @@
 pub mod commands;
 pub mod config;
 pub mod counters;
+mod keeping;
 mod kept;
 pub mod log;
 pub mod operators;
--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -102,7 +102,8 @@
     let to_sharing = to_takeover.clone();
     let begin_sharing = |owner: &mut Owner<Log>| -> Result<Option<sharing::Line>, String> {
         let Some(shares) = &shares else { return Ok(None) };
-        let (shared, line) = sharing::start(shares, &config, clock, to_sharing.clone())?;
+        let (shared, line) =
+            sharing::start(shares, &config, clock, to_sharing.clone(), given.state.as_deref())?;
         owner.join(shared);
         Ok(Some(line))
     };
--- a/crates/driver/src/program/sharing.rs
+++ b/crates/driver/src/program/sharing.rs
@@ -1,10 +1,11 @@
 //! The thread that speaks with other drivers: carries datagrams to the engine of `asterlatch-shared` and out of it, and its
 //! news to the owner. It keeps no statement waiting: the owner speaks to it by words, and hears by its own queue.
 
+use super::keeping::{self, Job};
 use crate::program::config::Config;
 use crate::program::operators::registry;
 use crate::routing::queue::Input as OwnersInput;
-use crate::routing::sharing::{Sharing, Terms, Word};
+use crate::routing::sharing::{News, Sharing, Terms, Word};
 use crate::transport::clock::Clock;
 use crate::transport::datagrams::{Came, Datagrams, Waker};
 use asterlatch::time::{Point, Span};
@@ -13,12 +14,14 @@
 use asterlatch_shared::book::Book;
 use asterlatch_shared::engine::{shown, Engine, Input, Output, Settings};
 use asterlatch_shared::fact::Fact;
+use asterlatch_shared::keep::{self, Keeper, Told, Wish};
 use asterlatch_shared::peers::Times;
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::path::Path;
+use std::sync::mpsc::{channel, Receiver, Sender, SyncSender};
 use std::time::Duration;
 
 /// How the operators set it; nothing where nothing is shared.
@@ -28,6 +31,8 @@
     others: Vec<Other>,
     settings: Settings,
     terms: Terms,
+    /// Between two writings; zero keeps nothing.
+    keep: Span,
     /// Of the operators' file.
     file: u64,
 }
@@ -64,6 +69,7 @@
             others,
             settings,
             terms,
+            keep: span("keep"),
             file: u64::from_str_radix(canonical.get(..16).unwrap_or_default(), 16).unwrap_or(0),
         })
     }
@@ -133,6 +139,7 @@
     config: &Config,
     clock: Clock,
     queue: Sender<OwnersInput>,
+    state: Option<&Path>,
 ) -> Result<(Sharing, Line), String> {
     let address = SocketAddr::new(config.listen.ip(), shares.port);
     let addresses = shares.others.iter().map(|o| o.address).collect();
@@ -145,7 +152,16 @@
         ..shares.settings.clone()
     };
     let now = clock.now();
-    let engine = Engine::new(settings, now.0, config.seed ^ now.0, now);
+    let folder = match state.filter(|_| shares.keep > Span(0)) {
+        None if shares.keep > Span(0) => {
+            return Err("shared.keep: no folder is given with --state".to_owned())
+        }
+        folder => folder.map(Path::to_owned),
+    };
+    let kept = folder.as_ref().map(|f| former(f, &settings)).unwrap_or_default();
+    let life = now.0.max(kept.life.saturating_add(1));
+    let mut engine = Engine::new(settings, life, config.seed ^ now.0, now);
+    let lines = take_over(&mut engine, kept, now, folder.is_some());
     let (words, inbox) = channel();
     let line = Line {
         words,
@@ -160,7 +176,13 @@
         shares.settings.peers.clone(),
         Box::new(move |word| teller.tell(word)),
     );
+    let keeping = folder
+        .map(|f| Keeping::start(&f, shares.keep, now, &line))
+        .transpose();
+    let keeping = keeping.map_err(|e| format!("shared.keep: {e}"))?;
     let running = Running {
+        keeping,
+        lines,
         engine,
         datagrams,
         inbox,
@@ -177,7 +199,124 @@
     Ok((sharing, line))
 }
 
+/// What a former life of this driver has kept.
+fn former(folder: &Path, settings: &Settings) -> Former {
+    match keeping::read(folder) {
+        Ok(None) => Former::default(),
+        Ok(Some(bytes)) => {
+            let read = keep::read(&bytes, &settings.fleet, &settings.name);
+            Former {
+                facts: read.facts,
+                life: read.life,
+                fault: read.fault.map(|f| f.says()),
+            }
+        }
+        Err(fault) => Former {
+            fault: Some(fault),
+            ..Former::default()
+        },
+    }
+}
+
+#[derive(Default)]
+struct Former {
+    facts: Vec<(Fact, Point)>,
+    life: u64,
+    fault: Option<String>,
+}
+
+/// Begins with what was kept, as far as it is of use still; what is to be told of that.
+fn take_over(engine: &mut Engine, former: Former, now: Point, keeps: bool) -> Vec<String> {
+    let count = former.facts.len();
+    let facts = former.facts.into_iter();
+    let used: Vec<_> = facts
+        .filter_map(|(fact, wall)| keep::age(&fact, wall, now).map(|age| (fact, age)))
+        .collect();
+    let mut lines: Vec<String> = former.fault.into_iter().collect();
+    if keeps {
+        lines.push(format!("{} of {count} kept facts are of use still", used.len()));
+    }
+    // Nobody is there to be told of it yet: what comes out is for the owner alone, which hears it with the first news.
+    for (fact, age) in used {
+        engine.restore(now, fact, age);
+    }
+    lines
+}
+
+/// What keeps the copy.
+struct Keeping {
+    keeper: Keeper,
+    jobs: SyncSender<Job>,
+    done: Receiver<keeping::Done>,
+    writer: Option<keep::Writer>,
+}
+
+impl Keeping {
+    fn start(folder: &Path, every: Span, now: Point, line: &Line) -> std::io::Result<Keeping> {
+        let (tell, done) = channel();
+        let waker = line.waker.clone();
+        let told = move |result| {
+            let sent = tell.send(result).is_ok();
+            waker.wake();
+            sent
+        };
+        Ok(Keeping {
+            keeper: Keeper::new(now, every),
+            jobs: keeping::start(folder, told)?,
+            done,
+            writer: None,
+        })
+    }
+
+    /// Writes what is due, and says what became of what was.
+    fn steer(&mut self, engine: &mut Engine, now: Point) -> Vec<String> {
+        let mut lines = Vec::new();
+        while let Ok((wish, records, result)) = self.done.try_recv() {
+            if result.is_err() {
+                self.writer = None;
+            }
+            match self.keeper.done(now, wish, records, result) {
+                Some(Told::Failing(why)) => {
+                    lines.push(format!("nothing is kept until that is mended: {why}"))
+                }
+                Some(Told::Healed) => lines.push("the copy is kept again".to_owned()),
+                None => {}
+            }
+        }
+        if engine.has_changed() {
+            self.keeper.changed();
+        }
+        let Some(wish) = self.keeper.wish(now) else {
+            return lines;
+        };
+        let changed = engine.take_changed();
+        let (wish, mut bytes, facts) = match (wish, changed, &self.writer) {
+            (Wish::Append, Some(changed), Some(_)) => (Wish::Append, Vec::new(), changed),
+            _ => {
+                let settings = engine.settings();
+                let (head, writer) =
+                    keep::Writer::begin(&settings.fleet, &settings.name, engine.peers.own().life);
+                self.writer = Some(writer);
+                let all = engine.book.all().map(|e| (e.fact.clone(), e.told));
+                (Wish::Whole, head, all.collect())
+            }
+        };
+        if let Some(writer) = &mut self.writer {
+            facts
+                .iter()
+                .for_each(|(fact, told)| writer.put(&mut bytes, fact, *told));
+        }
+        let records = facts.len();
+        // One at a time, so there is room for it.
+        let _ = self.jobs.try_send(Job { wish, bytes, records });
+        lines
+    }
+}
+
 struct Running {
+    keeping: Option<Keeping>,
+    /// What the owner is to say.
+    lines: Vec<String>,
     engine: Engine,
     datagrams: Datagrams,
     inbox: Receiver<ToEngine>,
@@ -198,7 +337,20 @@
         self.describe();
         loop {
             let now = self.clock.now();
-            let wait = Duration::from_micros((self.engine.next_at() - now).0).min(LONGEST_WAIT);
+            if let Some(keeping) = &mut self.keeping {
+                self.lines.extend(keeping.steer(&mut self.engine, now));
+            }
+            for line in std::mem::take(&mut self.lines) {
+                if self.queue.send(OwnersInput::Peers(News::Line(line))).is_err() {
+                    return;
+                }
+            }
+            let keeps_at = self
+                .keeping
+                .as_ref()
+                .map_or(Point(u64::MAX), |k| k.keeper.next_at());
+            let next = self.engine.next_at().min(keeps_at);
+            let wait = Duration::from_micros((next - now).0).min(LONGEST_WAIT);
             let outputs = match self.datagrams.next(wait) {
                 Ok(Came::From(from, bytes)) => {
                     let now = self.clock.now();
@@ -259,7 +411,7 @@
                 Output::Send { to, bytes } => self.failed += u64::from(!self.datagrams.send(to, &bytes)),
                 news => {
                     described |= matches!(news, Output::CaughtUp(_));
-                    if self.queue.send(OwnersInput::Peers(news)).is_err() {
+                    if self.queue.send(OwnersInput::Peers(News::Heard(news))).is_err() {
                         return false;
                     }
                 }
@@ -323,6 +475,7 @@
         json!({
             "drivers": rows,
             "counts": [{
+                "keeps": self.keeping.as_ref().map_or("nothing", |k| if k.keeper.is_failing() { "fails" } else { "well" }),
                 "facts": self.engine.book.len(), "datagrams_sent": c.datagrams_sent, "bytes_sent": c.bytes_sent,
                 "datagrams_heard": c.datagrams_heard, "bytes_heard": c.bytes_heard, "garbled": c.garbled,
                 "unknown_version": c.unknown_version, "passed_over": c.passed_over, "foreign": self.foreign,
--- a/crates/driver/src/routing/owner/sharing.rs
+++ b/crates/driver/src/routing/owner/sharing.rs
@@ -8,6 +8,7 @@
 use asterlatch::interface::*;
 use asterlatch::time::{Point, Span};
 use asterlatch_shared::doubts::{Known, Verdict, FOREVER};
+use asterlatch_shared::engine::Output;
 use asterlatch_shared::fact::{Fact, Standing as Listed};
 use asterlatch_shared::peers::Presence;
 use asterlatch_shared::wire::Question;
@@ -115,14 +116,13 @@
             self.figures.statements_given_away += 1;
             return doubted(Some((FOREVER, 0)));
         }
-        if !repeat {
-            return Some(taken);
-        }
         match sharing.log.known(now, name) {
+            // Also where it isn't marked: the first may be read behind its repeat.
             Known::Sent { ago, member } => {
                 let member = self.members.find(&member);
                 return doubted(Some(member.map_or((FOREVER, 0), |m| (ago, m))));
             }
+            _ if !repeat => return Some(taken),
             Known::Unknown => return doubted(Some((FOREVER, 0))),
             Known::Untouched => {}
         }
@@ -206,13 +206,17 @@
     }
 
     pub(super) fn peers_heard(&mut self, now: Point, news: News) {
-        match news {
-            News::News(fact, told) => {
+        let heard = match news {
+            News::Heard(heard) => heard,
+            News::Line(line) => return self.observer.say(now, "fleet", format_args!("{line}")),
+        };
+        match heard {
+            Output::News(fact, told) => {
                 self.figures.facts_from_others += 1;
                 self.fact(now, &fact, told);
             }
-            News::Question { from, question } => self.questioned(now, from, question),
-            News::Answered {
+            Output::Question { from, question } => self.questioned(now, from, question),
+            Output::Answered {
                 from,
                 question,
                 known,
@@ -223,7 +227,7 @@
                     self.decided(now, id, verdict);
                 }
             }
-            News::Presence(change) => {
+            Output::Presence(change) => {
                 let Some(sharing) = &self.sharing else { return };
                 let (to, from) = (change.to.name(), change.from.name());
                 let name = sharing.names.get(change.peer).map_or("", String::as_str);
@@ -233,17 +237,17 @@
                 let text = format_args!("driver {name} is {to}, was {from}");
                 self.observer.say(now, "fleet", text);
             }
-            News::CaughtUp(whole) => {
+            Output::CaughtUp(whole) => {
                 let text = if whole { "caught up" } else { "behind: it was away" };
                 self.observer.say(now, "fleet", format_args!("{text}"));
             }
-            News::CutOff { peer, why } => {
+            Output::CutOff { peer, why } => {
                 let Some(sharing) = &self.sharing else { return };
                 let name = sharing.names.get(peer).map_or("", String::as_str);
                 let text = format_args!("driver {name} is not listened to: {why}");
                 self.observer.say(now, "fleet", text);
             }
-            News::Send { .. } => {}
+            Output::Send { .. } => {}
         }
     }
 
--- a/crates/driver/src/routing/sharing.rs
+++ b/crates/driver/src/routing/sharing.rs
@@ -27,7 +27,11 @@
 }
 
 /// From the engine.
-pub type News = Output;
+pub enum News {
+    Heard(Output),
+    /// For the log.
+    Line(String),
+}
 
 pub type Tell = Box<dyn FnMut(Word)>;
 
--- /dev/null
+++ b/crates/driver/tests/fleet.rs
@@ -0,0 +1,79 @@
+//! Five processes of the built program with faults between them: the laboratory's scenes, judged over all of them together.
+
+use asterlatch_lab::fleet::{run, Outcome, Plan, SCENES};
+use asterlatch_lab::roam::Manners;
+use asterlatch_lab::script::Script;
+use std::path::Path;
+use std::sync::{Mutex, PoisonError};
+
+/// One fleet at a time: a machine that is too busy is no fault that a scene means.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn play(scene: &str, shares: bool) -> Outcome {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let (_, text) = SCENES
+        .iter()
+        .find(|(name, _)| *name == scene)
+        .expect("is a scene");
+    let plan = Plan {
+        drivers: 5,
+        groups: 2,
+        replicas: 2,
+        script: Script::read(text).expect("can be read"),
+        shares,
+        seconds: 5.0,
+        rate: 150.0,
+        clients: 24,
+        manners: Manners {
+            roam: 100,
+            hasty: 200,
+        },
+        seed: 3,
+    };
+    let folder = std::env::temp_dir().join(format!("asterlatch-{}-{scene}-{shares}", std::process::id()));
+    run(Path::new(env!("CARGO_BIN_EXE_asterlatch")), &folder, &plan).expect("can be played")
+}
+
+/// All rules hold over all processes, copies come to be equal, and no payment that was repeated elsewhere ran twice.
+fn holds(scene: &str) {
+    let outcome = play(scene, true);
+    assert!(outcome.is_kept(), "{outcome}");
+    assert!(outcome.completed > 500, "{outcome}");
+    let repeats = outcome.repeats;
+    assert!(repeats.asked > 0, "or this proves little: {outcome}");
+    assert_eq!((repeats.doubled, repeats.untrue), (0, 0), "{outcome}");
+}
+
+macro_rules! scenes {
+    ($($name:ident: $scene:literal,)*) => {
+        $(#[test]
+        fn $name() {
+            holds($scene);
+        })*
+
+        #[test]
+        fn all_scenes_are_played() {
+            assert_eq!([$($scene),*].as_slice(), SCENES.map(|(name, _)| name));
+        }
+    };
+}
+scenes! {
+    one_is_killed_and_comes_back: "killed",
+    a_link_is_cut_one_way: "one-way",
+    a_split_with_a_primary_change: "split",
+    a_drain_that_one_never_heard_of: "drain",
+    a_drain_told_on_one_side_of_a_split: "drain-in-a-split",
+    ids_in_doubt_while_one_is_stopped_and_one_is_killed: "doubt",
+    links_that_lose_garble_and_are_slow: "lossy",
+    one_is_paused: "paused",
+    a_rolling_restart: "rolling",
+}
+
+/// The same without word between them: or the scenes above would prove nothing.
+#[test]
+fn alone_they_double_payments_and_miss_drains() {
+    let outcome = play("drain", false);
+    assert!(outcome.repeats.doubled > 0, "{outcome}");
+    let late = outcome.broken.get("drains: sent long after it was told");
+    assert!(late.is_some(), "{outcome}");
+}
--- /dev/null
+++ b/crates/driver/tests/kept.rs
@@ -0,0 +1,262 @@
+//! The copy that outlives the process: what of it is used again, and disks that are full, vanish or were somebody else's.
+
+mod stand;
+use asterlatch::time::{Point, Span};
+use asterlatch_shared::fact::{Fact, Standing};
+use asterlatch_shared::keep::Writer;
+use rustix::process::{Pid, Resource, Rlimit};
+use stand::*;
+use std::net::UdpSocket;
+use std::process::Command;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
+
+struct Stage {
+    folder: Folder,
+    operated: Operated,
+    member: Member,
+}
+
+fn wall() -> Point {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    Point(since.expect("is later").as_micros() as u64)
+}
+
+impl Stage {
+    fn new(name: &str, kept: Option<&[u8]>) -> Stage {
+        let folder = Folder::new(&format!("kept-{name}"));
+        std::fs::create_dir_all(folder.path("state")).expect("is made");
+        if let Some(bytes) = kept {
+            std::fs::write(folder.path("state/shared.log"), bytes).expect("is written");
+        }
+        let member = member(Manner::Answers);
+        let operated = Stage::begin(name, &folder, &member);
+        Stage {
+            folder,
+            operated,
+            member,
+        }
+    }
+
+    fn begin(name: &str, folder: &Folder, member: &Member) -> Operated {
+        let port = UdpSocket::bind("127.0.0.1:0")
+            .and_then(|s| s.local_addr())
+            .expect("is free")
+            .port();
+        let text = format!("log(lines = 100/s)\nshared(port = {port}, keep = 50ms, tick = 20ms)\n");
+        let file = folder.write("o.latch", &text);
+        let (control, state) = (folder.path("control"), folder.path("state"));
+        let arguments = ["--operators", &file, "--control", &control, "--state", &state];
+        operated(&format!("kept-{name}"), member.address, &arguments)
+    }
+
+    /// What the program says of itself.
+    fn status(&self) -> serde_json::Value {
+        let control = self.folder.path("control");
+        let output = Command::new(env!("CARGO_BIN_EXE_asterlatch"))
+            .args(["fleet", "status", "--json", "--control", &control])
+            .output()
+            .expect("runs");
+        serde_json::from_slice(&output.stdout).expect("is JSON")
+    }
+
+    fn count(&self, name: &str) -> serde_json::Value {
+        self.status()["counts"][0][name].clone()
+    }
+
+    fn await_kept(&self, facts: usize) {
+        let end = Instant::now() + PATIENCE;
+        while self.facts_on_disk() < facts {
+            assert!(Instant::now() < end, "{} on the disk", self.facts_on_disk());
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        std::fs::read(self.folder.path("state/shared.log")).unwrap_or_default()
+    }
+
+    /// Of the settings, which only the program hashes: it lies behind magic, version, length and hash of the copy's head.
+    fn fleet(&self) -> String {
+        let at = 8 + 2 + 4 + 8 + 1;
+        let bytes = self.bytes();
+        let fleet = bytes.get(at..at + 16).unwrap_or_default();
+        String::from_utf8_lossy(fleet).into_owned()
+    }
+
+    fn facts_on_disk(&self) -> usize {
+        let read = asterlatch_shared::keep::read(&self.bytes(), &self.fleet(), "t");
+        read.facts.len()
+    }
+
+    fn ask(&self, id: u32) -> String {
+        let mut client = self.operated.program.client();
+        let text = format!("/* id={id:x},c=post,d=25000,cluster=1 */ SELECT {id}\0");
+        std::io::Write::write_all(&mut client, &message(b'Q', text.as_bytes())).expect("is written");
+        answer(&mut client).0
+    }
+
+    /// Killed, and begun anew on what it left.
+    fn again(mut self, name: &str, change: impl FnOnce(&mut Vec<u8>)) -> Stage {
+        self.operated.program.child.kill().expect("is killed");
+        self.operated.program.child.wait().expect("ends");
+        let mut bytes = self.bytes();
+        change(&mut bytes);
+        std::fs::write(self.folder.path("state/shared.log"), bytes).expect("is written");
+        self.operated = Stage::begin(name, &self.folder, &self.member);
+        self
+    }
+}
+
+#[test]
+fn what_was_known_is_known_again_after_a_kill() {
+    let stage = Stage::new("kill", None);
+    stage.operated.told("fleet: 0 of 0 kept facts are of use still");
+    assert_eq!(stage.ask(1), "T D C Z");
+    // The member's word and its own.
+    stage.await_kept(2);
+    let life = stage.status()["drivers"][0]["life"].as_u64();
+    let stage = stage.again("kill-2", |_| ());
+    let told = stage.operated.told("kept facts are of use still");
+    assert!(!told.contains(" 0 of"), "{told}");
+    assert!(stage.status()["drivers"][0]["life"].as_u64() > life, "a new life");
+    assert_eq!(stage.ask(2), "T D C Z");
+}
+
+#[test]
+fn a_damaged_copy_is_told_in_one_line_and_serves_as_far_as_it_is_whole() {
+    #[allow(clippy::type_complexity)]
+    let table: [(&str, fn(&mut Vec<u8>), &str); 5] = [
+        (
+            "torn",
+            |b| b.truncate(b.len() - 3),
+            "ends in the middle of a record",
+        ),
+        (
+            "flipped",
+            |b| {
+                let n = b.len();
+                b[60.min(n - 1)] ^= 1
+            },
+            "the kept copy",
+        ),
+        ("empty", Vec::clear, "the kept copy is empty"),
+        ("rubbish", |b| b[..8].fill(b'x'), "has no head"),
+        ("version", |b| b[9] = 77, "has version 77, not 1"),
+    ];
+    for (name, change, words) in table {
+        let stage = Stage::new(name, None);
+        assert_eq!(stage.ask(1), "T D C Z");
+        stage.await_kept(2);
+        let stage = stage.again(&format!("{name}-2"), change);
+        stage.operated.told(words);
+        assert_eq!(stage.ask(2), "T D C Z", "{name}: it serves all the same");
+        // And writes a whole copy anew.
+        stage.await_kept(2);
+    }
+}
+
+#[test]
+fn a_month_old_copy_and_one_of_another_driver_are_not_used() {
+    let stage = Stage::new("old", None);
+    assert_eq!(stage.ask(1), "T D C Z");
+    stage.await_kept(2);
+    let fleet = stage.fleet();
+    let month = Span::millis(30 * 24 * 3600 * 1000);
+    let drain = |n: u64| Fact::Drain {
+        name: format!("m{n}"),
+        started_ms: 0,
+        list: n,
+        standing: Standing::Draining,
+    };
+    let written = |name: &str, at: Point| {
+        let (mut bytes, mut writer) = Writer::begin(&fleet, name, 5);
+        (0..3).for_each(|n| writer.put(&mut bytes, &drain(n), at));
+        bytes
+    };
+    let (old, foreign) = (written("t", wall() - month), written("u", wall()));
+    let ahead = written("t", wall() + month);
+    let stage = stage.again("old-2", |b| *b = old);
+    stage.operated.told("fleet: 0 of 3 kept facts are of use still");
+    let stage = stage.again("old-3", |b| *b = foreign);
+    stage.operated.told("the kept copy is u's: nothing of it is used");
+    // Of a clock that was set back since drains bind all the same.
+    let stage = stage.again("old-4", |b| *b = ahead);
+    stage.operated.told("fleet: 3 of 3 kept facts are of use still");
+    assert_eq!(stage.ask(2), "T D C Z");
+}
+
+/// A limit on the size of files stands for a full disk: nothing is kept, everything is served, and it heals by itself.
+#[test]
+fn a_full_disk_costs_durability_and_no_statement() {
+    let stage = Stage::new("full", None);
+    assert_eq!(stage.ask(1), "T D C Z");
+    stage.await_kept(2);
+    let pid = Pid::from_child(&stage.operated.program.child);
+    let limit = |most: Option<u64>| {
+        let limit = Rlimit {
+            current: most,
+            maximum: None,
+        };
+        rustix::process::prlimit(Some(pid), Resource::Fsize, limit).expect("is set");
+    };
+    limit(Some(stage.bytes().len() as u64 / 2));
+    // Each probe of the member is news, and an answer as well.
+    let mut id = 10;
+    let end = Instant::now() + PATIENCE;
+    while stage.count("keeps") != "fails" {
+        assert!(Instant::now() < end, "it never fails");
+        assert_eq!(stage.ask(id), "T D C Z");
+        id += 1;
+    }
+    stage.operated.told("nothing is kept until that is mended");
+    for n in 0..50 {
+        assert_eq!(stage.ask(1000 + n), "T D C Z");
+    }
+    limit(None);
+    stage.operated.told("the copy is kept again");
+    stage.await_kept(2);
+    assert_eq!(stage.count("keeps"), "well");
+}
+
+/// The folder is taken away, or something else stands in its place.
+#[test]
+fn a_folder_that_vanishes_is_made_again_when_that_can_be() {
+    let stage = Stage::new("gone", None);
+    assert_eq!(stage.ask(1), "T D C Z");
+    stage.await_kept(2);
+    let state = stage.folder.path("state");
+    std::fs::remove_dir_all(&state).expect("is removed");
+    std::fs::write(&state, "a file").expect("is written");
+    let mut id = 10;
+    let end = Instant::now() + PATIENCE;
+    while stage.count("keeps") != "fails" {
+        assert!(Instant::now() < end, "it never fails");
+        assert_eq!(stage.ask(id), "T D C Z");
+        id += 1;
+    }
+    stage.operated.told("nothing is kept until that is mended");
+    std::fs::remove_file(&state).expect("is removed");
+    stage.operated.told("the copy is kept again");
+    stage.await_kept(2);
+}
+
+#[test]
+fn a_copy_needs_a_folder() {
+    let folder = Folder::new("kept-none");
+    let file = folder.write("o.latch", "shared(port = 9, keep = 1s)\n");
+    let member = member(Manner::Answers);
+    let text = described(free_address(), silent_discovery(), member.address);
+    let path = config("kept-none", &text);
+    let output = program("serve", &path)
+        .args(["--operators", &file])
+        .output()
+        .expect("runs");
+    let _ = std::fs::remove_file(&path);
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1), "{said}");
+    assert!(
+        said.contains("shared.keep: no folder is given with --state"),
+        "{said}"
+    );
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -57,8 +57,10 @@
     _links: Vec<Link>,
 }
 
-fn free_udp() -> io::Result<SocketAddr> {
-    UdpSocket::bind("127.0.0.1:0")?.local_addr()
+/// Each driver has an address of its own: while it is down, its ports are nobody else's.
+fn host(number: u32) -> String {
+    let id = std::process::id();
+    format!("127.{}.{}.{number}:0", 20 + id % 200, id / 200 % 250)
 }
 
 impl Fleet {
@@ -69,7 +71,9 @@
         let members: Vec<u32> = lock(&store).members().collect();
         let started = members.into_iter().map(|m| Ok((m, member::start(&store, m)?)));
         let addresses: discovery::Addresses = started.collect::<io::Result<_>>()?;
-        let own: Vec<SocketAddr> = (0..plan.drivers).map(|_| free_udp()).collect::<io::Result<_>>()?;
+        let own: Vec<SocketAddr> = (1..=plan.drivers)
+            .map(|n| UdpSocket::bind(host(n))?.local_addr())
+            .collect::<io::Result<_>>()?;
         let mut links = Vec::new();
         // Where each finds each other one.
         let mut found: BTreeMap<(u32, u32), SocketAddr> = BTreeMap::new();
@@ -91,7 +95,7 @@
             _links: links,
         };
         for number in 1..=plan.drivers {
-            let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+            let listen = TcpListener::bind(host(number))?.local_addr()?;
             let discovery = discovery::start(&fleet.store, &addresses, number)?;
             let known = discovery::listed(&fleet.store, &addresses);
             let name = format!("d{number}");
--- a/crates/shared/src/doubts.rs
+++ b/crates/shared/src/doubts.rs
@@ -21,16 +21,18 @@
     Unknown,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Note {
     sent: Point,
     member: String,
     /// How often it went out without proof that it didn't run.
     unproven: u32,
+    /// Its place in the order: an older one of the same id says nothing of it.
+    place: u64,
 }
 
 /// What one driver has sent, as far back as a client may repeat.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Log {
     /// How long after its first sending a statement may be repeated.
     window: Span,
@@ -39,8 +41,10 @@
     blank_until: Point,
     sent: BTreeMap<u64, Note>,
     /// Ids that another driver has asked about: it may run them by now.
-    given: BTreeMap<u64, Point>,
-    order: VecDeque<(Point, u64)>,
+    given: BTreeMap<u64, u64>,
+    /// When, the place, and the id.
+    order: VecDeque<(Point, u64, u64)>,
+    places: u64,
     /// When the newest was sent that had to be forgotten for want of room.
     forgotten: Option<Point>,
 }
@@ -55,6 +59,7 @@
             sent: BTreeMap::new(),
             given: BTreeMap::new(),
             order: VecDeque::new(),
+            places: 0,
             forgotten: None,
         }
     }
@@ -78,9 +83,9 @@
             sent: now,
             member: member.to_owned(),
             unproven: 1,
+            place: self.place(now, id),
         };
         self.sent.insert(id, note);
-        self.order.push_back((now, id));
         self.make_room();
     }
 
@@ -98,8 +103,8 @@
     /// Another driver may run it: it must not be sent from here.
     pub fn give_away(&mut self, now: Point, id: u64) {
         self.age(now);
-        self.given.insert(id, now);
-        self.order.push_back((now, id));
+        let place = self.place(now, id);
+        self.given.insert(id, place);
         self.make_room();
     }
 
@@ -108,39 +113,40 @@
         self.given.contains_key(&id)
     }
 
+    fn place(&mut self, now: Point, id: u64) -> u64 {
+        self.places += 1;
+        self.order.push_back((now, self.places, id));
+        self.places
+    }
+
     fn age(&mut self, now: Point) {
-        while let Some((at, id)) = self
-            .order
-            .front()
-            .copied()
-            .filter(|(at, _)| now - *at >= self.window)
-        {
-            self.order.pop_front();
-            self.drop_one(at, id);
+        while let Some((_, place, id)) = self.order.pop_front_if(|(at, ..)| now - *at >= self.window) {
+            self.drop_one(place, id);
         }
     }
 
-    /// An id may stand in the order more than once: sent again after it was proven untouched, or given away.
-    fn drop_one(&mut self, at: Point, id: u64) {
-        self.sent
-            .remove(&id)
-            .filter(|n| n.sent > at)
-            .map(|n| self.sent.insert(id, n));
-        self.given
-            .remove(&id)
-            .filter(|given| *given > at)
-            .map(|at| self.given.insert(id, at));
+    /// Whether anything was known by that place. An id may have several: sent again after it was proven untouched, or
+    /// asked about twice; only the last counts.
+    fn drop_one(&mut self, place: u64, id: u64) -> bool {
+        let sent = self.sent.get(&id).is_some_and(|n| n.place == place);
+        let given = self.given.get(&id) == Some(&place);
+        if sent {
+            self.sent.remove(&id);
+        }
+        if given {
+            self.given.remove(&id);
+        }
+        sent || given
     }
 
     fn make_room(&mut self) {
         while self.order.len() > self.most {
-            let Some((at, id)) = self.order.pop_front() else {
+            let Some((at, place, id)) = self.order.pop_front() else {
                 return;
             };
-            if self.sent.contains_key(&id) || self.given.contains_key(&id) {
+            if self.drop_one(place, id) {
                 self.forgotten = self.forgotten.max(Some(at));
             }
-            self.drop_one(at, id);
         }
     }
 
@@ -170,7 +176,7 @@
     Sent { ago: Span, member: Option<String> },
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Inquiry {
     turn: u32,
     waits: BTreeSet<usize>,
@@ -178,7 +184,7 @@
 }
 
 /// Statements that wait for the others' word.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Inquiries {
     open: BTreeMap<u64, Inquiry>,
     turns: u32,
--- a/crates/shared/src/engine.rs
+++ b/crates/shared/src/engine.rs
@@ -110,6 +110,9 @@
 /// Part of what is left of the rate that news may take at a tick: the rest is for who catches up.
 const NEWS: f64 = 0.75;
 
+/// Changes that are counted for who keeps a copy.
+const MOST_CHANGED: usize = 8192;
+
 struct Listening {
     bytes: Rate,
     questions: Rate,
@@ -137,6 +140,9 @@
     outbox: BTreeMap<usize, Vec<Vec<u8>>>,
     outputs: Vec<Output>,
     has_left: bool,
+    /// What has changed since it was last asked, for who keeps a copy; more than that is no longer counted.
+    changed: BTreeSet<Key>,
+    uncounted: bool,
 }
 
 impl Engine {
@@ -170,6 +176,8 @@
             outbox: BTreeMap::new(),
             outputs: Vec::new(),
             has_left: false,
+            changed: BTreeSet::new(),
+            uncounted: false,
             settings,
         }
     }
@@ -334,6 +342,11 @@
             Learned::Nothing => {}
             Learned::Refused => self.counts.facts_refused += 1,
             Learned::More => {
+                if self.changed.len() < MOST_CHANGED {
+                    self.changed.insert(key.clone());
+                } else {
+                    self.uncounted = true;
+                }
                 let there = self.peers.there().count();
                 self.spread.is_new(&key, tellings(there, self.settings.fanout));
                 if key.0 == Kind::Member {
@@ -533,6 +546,25 @@
         }
     }
 
+    /// What a former life of this driver has kept; it is told to others as news like any other, if they lack it.
+    pub fn restore(&mut self, now: Point, fact: Fact, age: Span) {
+        self.learn(now, fact, now - age, false);
+    }
+
+    pub fn has_changed(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// What has changed since this was last asked; nothing where that is more than is counted.
+    pub fn take_changed(&mut self) -> Option<Vec<(Fact, Point)>> {
+        let changed = std::mem::take(&mut self.changed);
+        if std::mem::take(&mut self.uncounted) {
+            return None;
+        }
+        let entries = changed.iter().filter_map(|key| self.book.get(key));
+        Some(entries.map(|e| (e.fact.clone(), e.told)).collect())
+    }
+
     /// What this driver says of itself, whenever that changes.
     pub fn describe(&mut self, now: Point, list: u64, file: u64) -> Vec<Output> {
         self.said += 1;
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `catchup` | how a driver that was away comes by what it missed |
 //! | `doubts` | statements that must not run twice: who may have sent one, and whether it may go out here |
 //! | `engine` | all of it together, input by input |
+//! | `keep` | what of a copy outlives the process, and what of that is used again |
 //! | `wire` | datagrams |
 //!
 //! Facts travel as ages and never as readings of a clock. What is believed for how long, and what the decisions may do
@@ -21,6 +22,7 @@
 pub mod doubts;
 pub mod engine;
 pub mod fact;
+pub mod keep;
 pub mod peers;
 pub mod quarrel;
 pub mod spread;
--- /dev/null
+++ b/crates/shared/tests/doubts.rs
@@ -0,0 +1,445 @@
+//! Statements that must not run twice: what a driver remembers, what others' words come to, and every order of steps,
+//! losses and crashes in a small world.
+
+use asterlatch::time::{Point, Span};
+use asterlatch_shared::doubts::{Inquiries, Known, Log, Verdict, FOREVER};
+use stateright::{Checker, Model, Property};
+
+const NOW: Point = Point(1_000_000_000);
+const WINDOW: Span = Span::millis(5000);
+
+fn at(ms: u64) -> Point {
+    NOW + Span::millis(ms)
+}
+
+fn sent(ms: u64, member: &str) -> Known {
+    Known::Sent {
+        ago: Span::millis(ms),
+        member: member.to_owned(),
+    }
+}
+
+#[test]
+fn what_was_sent_is_remembered_for_as_long_as_it_may_be_repeated() {
+    let mut log = Log::new(NOW, WINDOW, 100, false);
+    log.sends(at(0), 7, "m1");
+    log.sends(at(100), 7, "m2");
+    // (when, what is known): the first sending counts, for the store's window begins with it.
+    for (ms, known) in [
+        (0, sent(0, "m1")),
+        (4999, sent(4999, "m1")),
+        (5000, Known::Untouched),
+    ] {
+        assert_eq!(log.known(at(ms), 7), known, "{ms}");
+    }
+    assert!(log.is_empty());
+}
+
+#[test]
+fn what_is_proven_untouched_each_time_may_go_out_elsewhere() {
+    let mut log = Log::new(NOW, WINDOW, 100, false);
+    log.sends(at(0), 7, "m1");
+    log.untouched(7);
+    assert_eq!(log.known(at(1), 7), Known::Untouched);
+    log.sends(at(10), 7, "m1");
+    log.sends(at(20), 7, "m2");
+    log.untouched(7);
+    assert_eq!(
+        log.known(at(30), 7),
+        sent(20, "m1"),
+        "of the other time nothing is proven"
+    );
+    // The entry of the first time is older, and ends without taking the later one's along.
+    assert_eq!(log.known(at(5005), 7), sent(4995, "m1"));
+    assert_eq!(log.known(at(5010), 7), Known::Untouched);
+}
+
+#[test]
+fn who_has_begun_or_forgotten_cannot_say() {
+    let mut log = Log::new(NOW, WINDOW, 100, true);
+    assert_eq!(
+        log.known(at(4999), 7),
+        Known::Unknown,
+        "its former life may have sent it"
+    );
+    assert_eq!(log.known(at(5000), 7), Known::Untouched);
+    for id in 0..150 {
+        log.sends(at(6000 + id), id, "m");
+    }
+    assert_eq!(log.len(), 100);
+    assert_eq!(
+        log.known(at(6200), 9999),
+        Known::Unknown,
+        "it may be among those forgotten"
+    );
+    assert_eq!(log.known(at(6200), 149), sent(51, "m"));
+    assert_eq!(
+        log.known(at(6049 + 5000), 9999),
+        Known::Untouched,
+        "no repeat of those can come any more"
+    );
+}
+
+#[test]
+fn what_was_given_away_stays_so() {
+    let mut log = Log::new(NOW, WINDOW, 100, false);
+    log.give_away(at(0), 7);
+    assert!(log.is_given(7) && !log.is_given(8));
+    log.give_away(at(4000), 7);
+    let _ = log.known(at(6000), 1);
+    assert!(log.is_given(7), "it was asked about again");
+    let _ = log.known(at(9000), 1);
+    assert!(!log.is_given(7) && log.is_empty());
+}
+
+#[test]
+fn one_word_of_doubt_is_enough_and_silence_is_one() {
+    let doubt = |ago, member: Option<&str>| Verdict::Sent {
+        ago,
+        member: member.map(str::to_owned),
+    };
+    type Case = (&'static str, Vec<(usize, Known)>, Option<Verdict>);
+    #[rustfmt::skip]
+    let table: [Case; 6] = [
+        ("all untouched", vec![(0, Known::Untouched), (1, Known::Untouched), (2, Known::Untouched)], Some(Verdict::Untouched)),
+        ("one is silent", vec![(0, Known::Untouched), (2, Known::Untouched)], None),
+        ("one has sent it", vec![(1, sent(30, "m4"))], Some(doubt(Span::millis(30), Some("m4")))),
+        ("one can't say", vec![(0, Known::Untouched), (1, Known::Unknown)], Some(doubt(FOREVER, None))),
+        ("one says it twice", vec![(0, Known::Untouched), (0, Known::Untouched), (0, Known::Untouched)], None),
+        ("somebody who wasn't asked", vec![(9, sent(1, "m"))], None),
+    ];
+    for (name, words, verdict) in table {
+        let mut inquiries = Inquiries::default();
+        let turn = inquiries
+            .ask(NOW, 7, &[0, 1, 2], Span::millis(100))
+            .expect("three are asked");
+        let told = words.iter().fold(None, |told, (peer, known)| {
+            told.or(inquiries.answered(7, turn, *peer, known))
+        });
+        assert_eq!(told, verdict, "{name}");
+        // An answer to another turn of the same id is none.
+        assert_eq!(inquiries.answered(7, turn + 1, 1, &sent(1, "m")), None, "{name}");
+        assert!(inquiries.due(at(99)).is_empty(), "{name}");
+        let late = inquiries.due(at(100));
+        let silent = vec![(7, doubt(FOREVER, None))];
+        assert_eq!(
+            late,
+            if verdict.is_some() { Vec::new() } else { silent },
+            "{name}"
+        );
+        assert!(inquiries.is_empty());
+    }
+    let nobody = Inquiries::default().ask(NOW, 7, &[], Span::millis(100));
+    assert_eq!(nobody, Err(Verdict::Untouched), "there is nobody else");
+}
+
+/// A mistake that the checker must find.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Mistake {
+    /// Who is asked goes on holding the statement.
+    KeepWhatIsAsked,
+    /// A new life says that it never sent what it can't know.
+    BlankIsUntouched,
+    /// Who is silent is taken to have sent nothing.
+    SilenceIsConsent,
+    /// What isn't marked as a repeat is taken for the first.
+    TrustTheUnmarked,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Driver {
+    is_up: bool,
+    log: Log,
+    inquiries: Inquiries,
+    /// It holds the statement, which may go out; or asks others first.
+    holds: bool,
+    asks: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Word {
+    Ask {
+        from: usize,
+        to: usize,
+        turn: u32,
+    },
+    Answer {
+        from: usize,
+        to: usize,
+        turn: u32,
+        known: u8,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    drivers: Vec<Driver>,
+    /// Sent by the client and not read yet: to whom, and whether it is marked as a repeat.
+    unread: Vec<(usize, bool)>,
+    words: Vec<Word>,
+    /// Executions that are out, by whose driver sent them.
+    out: Vec<usize>,
+    effects: u8,
+    repeats: u8,
+    crashes: u8,
+    /// How often it was proven to have left a member untouched.
+    misses: u8,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    Repeat(usize),
+    Read(usize),
+    Send(usize),
+    Runs(usize),
+    Untouched(usize),
+    Arrives(usize),
+    IsLost(usize),
+    TimesOut(usize),
+    Crash(usize),
+    Restart(usize),
+}
+
+struct Fleet {
+    mistake: Option<Mistake>,
+    drivers: usize,
+    repeats: u8,
+}
+
+const ID: u64 = 7;
+
+fn known(number: u8) -> Known {
+    match number {
+        0 => Known::Untouched,
+        1 => sent(1, "m"),
+        _ => Known::Unknown,
+    }
+}
+
+fn number(known: &Known) -> u8 {
+    match known {
+        Known::Untouched => 0,
+        Known::Sent { .. } => 1,
+        Known::Unknown => 2,
+    }
+}
+
+impl Fleet {
+    fn begin(&self, follows: bool) -> Driver {
+        let follows = follows && self.mistake != Some(Mistake::BlankIsUntouched);
+        Driver {
+            is_up: true,
+            log: Log::new(NOW, WINDOW, 10, follows),
+            inquiries: Inquiries::default(),
+            holds: false,
+            asks: false,
+        }
+    }
+
+    /// The same steps as the owner's.
+    fn read(&self, w: &mut World, to: usize, repeat: bool) {
+        let d = &mut w.drivers[to];
+        let is_open = d.holds || d.asks || w.out.contains(&to);
+        if is_open || d.log.is_given(ID) {
+            return;
+        }
+        match d.log.known(NOW, ID) {
+            // Also where it isn't marked: the checker found a first that was read behind its repeat.
+            Known::Sent { .. } if self.mistake != Some(Mistake::TrustTheUnmarked) => return,
+            _ if !repeat => {
+                d.holds = true;
+                return;
+            }
+            Known::Untouched => {}
+            _ => return,
+        }
+        let peers: Vec<usize> = (0..self.drivers).filter(|p| *p != to).collect();
+        match d.inquiries.ask(NOW, ID, &peers, Span::millis(100)) {
+            Ok(turn) => {
+                d.asks = true;
+                w.words.extend(peers.iter().map(|p| Word::Ask {
+                    from: to,
+                    to: *p,
+                    turn,
+                }));
+            }
+            Err(_) => d.holds = true,
+        }
+    }
+
+    fn arrives(&self, w: &mut World, word: &Word) {
+        match word {
+            Word::Ask { from, to, turn } => {
+                let d = &mut w.drivers[*to];
+                let told = d.log.known(NOW, ID);
+                if told == Known::Untouched && self.mistake != Some(Mistake::KeepWhatIsAsked) {
+                    d.log.give_away(NOW, ID);
+                    d.inquiries.end(ID);
+                    (d.holds, d.asks) = (false, false);
+                }
+                w.words.push(Word::Answer {
+                    from: *to,
+                    to: *from,
+                    turn: *turn,
+                    known: number(&told),
+                });
+            }
+            Word::Answer {
+                from,
+                to,
+                turn,
+                known: n,
+            } => {
+                let d = &mut w.drivers[*to];
+                if let Some(verdict) = d.inquiries.answered(ID, *turn, *from, &known(*n)) {
+                    d.asks = false;
+                    d.holds = verdict == Verdict::Untouched;
+                }
+            }
+        }
+    }
+}
+
+impl Model for Fleet {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        vec![World {
+            drivers: (0..self.drivers).map(|_| self.begin(false)).collect(),
+            unread: vec![(0, false)],
+            words: Vec::new(),
+            out: Vec::new(),
+            effects: 0,
+            repeats: 0,
+            crashes: 0,
+            misses: 0,
+        }]
+    }
+
+    fn actions(&self, w: &World, steps: &mut Vec<Step>) {
+        for n in 0..self.drivers {
+            let d = &w.drivers[n];
+            let mut may = |possible: bool, step: Step| steps.extend(possible.then_some(step));
+            may(w.repeats < self.repeats, Step::Repeat(n));
+            may(d.is_up && d.holds, Step::Send(n));
+            may(d.is_up && d.asks, Step::TimesOut(n));
+            may(d.is_up && w.crashes < 1, Step::Crash(n));
+            may(!d.is_up, Step::Restart(n));
+        }
+        steps.extend(
+            (0..w.unread.len())
+                .filter(|n| w.drivers[w.unread[*n].0].is_up)
+                .map(Step::Read),
+        );
+        steps.extend((0..w.out.len()).map(Step::Runs));
+        if w.misses < 2 {
+            steps.extend((0..w.out.len()).map(Step::Untouched));
+        }
+        steps.extend((0..w.words.len()).map(Step::Arrives));
+        steps.extend((0..w.words.len()).map(Step::IsLost));
+    }
+
+    fn next_state(&self, last: &World, step: Step) -> Option<World> {
+        let mut w = last.clone();
+        match step {
+            Step::Repeat(n) => {
+                w.repeats += 1;
+                w.unread.push((n, true));
+            }
+            Step::Read(n) => {
+                let (to, repeat) = w.unread.remove(n);
+                self.read(&mut w, to, repeat);
+            }
+            Step::Send(n) => {
+                w.drivers[n].holds = false;
+                w.drivers[n].log.sends(NOW, ID, "m");
+                w.out.push(n);
+            }
+            Step::Runs(n) => {
+                w.out.remove(n);
+                w.effects += 1;
+            }
+            // Proven: a write that missed its primary waits for the next one.
+            Step::Untouched(n) => {
+                let by = w.out.remove(n);
+                w.misses += 1;
+                let d = &mut w.drivers[by];
+                if d.is_up && d.log.known(NOW, ID) != Known::Untouched {
+                    d.log.untouched(ID);
+                    d.holds = true;
+                }
+            }
+            Step::Arrives(n) => {
+                let word = w.words.remove(n);
+                let (Word::Ask { to, .. } | Word::Answer { to, .. }) = word;
+                if w.drivers[to].is_up {
+                    self.arrives(&mut w, &word);
+                }
+            }
+            Step::IsLost(n) => drop(w.words.remove(n)),
+            Step::TimesOut(n) => {
+                let verdicts = w.drivers[n].inquiries.due(NOW + Span::millis(100));
+                w.drivers[n].asks = false;
+                w.drivers[n].holds = !verdicts.is_empty() && self.mistake == Some(Mistake::SilenceIsConsent);
+            }
+            Step::Crash(n) => {
+                w.crashes += 1;
+                w.drivers[n].is_up = false;
+                (w.drivers[n].holds, w.drivers[n].asks) = (false, false);
+                w.unread.retain(|(to, _)| *to != n);
+                // What is out may run all the same; nobody hears of it.
+            }
+            Step::Restart(n) => w.drivers[n] = self.begin(true),
+        }
+        w.words.sort();
+        w.unread.sort_unstable();
+        w.out.sort_unstable();
+        Some(w)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("a statement has one effect", |_, w: &World| w.effects < 2),
+            Property::sometimes("a repeat runs at another driver", |_, w: &World| {
+                w.effects == 1 && w.drivers[0].is_up && w.drivers[0].log.is_given(ID)
+            }),
+        ]
+    }
+}
+
+fn checked(mistake: Option<Mistake>, drivers: usize, repeats: u8) -> impl Checker<Fleet> {
+    let fleet = Fleet {
+        mistake,
+        drivers,
+        repeats,
+    };
+    fleet.checker().threads(4).spawn_bfs().join()
+}
+
+#[test]
+fn no_order_of_steps_losses_and_a_crash_gives_a_statement_two_effects() {
+    for (drivers, repeats) in [(2, 3), (3, 2)] {
+        let checker = checked(None, drivers, repeats);
+        println!(
+            "{drivers} drivers, {repeats} repeats: {} states",
+            checker.unique_state_count()
+        );
+        checker.assert_properties();
+        assert!(checker.unique_state_count() > 1000);
+    }
+}
+
+#[test]
+fn seeded_mistakes_are_found() {
+    for mistake in [
+        Mistake::KeepWhatIsAsked,
+        Mistake::BlankIsUntouched,
+        Mistake::SilenceIsConsent,
+        Mistake::TrustTheUnmarked,
+    ] {
+        let checker = checked(Some(mistake), 2, 2);
+        let found = checker.discovery("a statement has one effect").is_some();
+        assert!(found, "{mistake:?} is not found");
+    }
+}
--- /dev/null
+++ b/crates/shared/tests/keep.rs
@@ -0,0 +1,179 @@
+//! A kept copy: whatever befell its bytes is told, and what stands whole before that is used; a disk that fails costs
+//! durability and nothing else.
+
+mod common;
+use asterlatch::time::{Point, Span};
+use asterlatch_shared::fact::{Fact, Standing};
+use asterlatch_shared::keep::{age, read, Fault, Keeper, Told, Wish, Writer};
+use common::{drain, member, session};
+
+const NOW: Point = Point(5_000_000_000);
+
+fn facts() -> Vec<Fact> {
+    let mut all: Vec<Fact> = (0..20).map(|n| member(&format!("m{n}"), n * 10, 0, 5)).collect();
+    all.extend([drain("m3", 9, Standing::Draining), session(77, 900)]);
+    all
+}
+
+fn copy(name: &str) -> (Vec<u8>, Vec<usize>) {
+    let (mut bytes, mut writer) = Writer::begin("f", name, 42);
+    let mut ends = vec![bytes.len()];
+    for (n, fact) in facts().iter().enumerate() {
+        writer.put(&mut bytes, fact, NOW + Span(n as u64));
+        ends.push(bytes.len());
+    }
+    (bytes, ends)
+}
+
+#[test]
+fn what_was_written_is_read() {
+    let (bytes, _) = copy("d1");
+    let read = read(&bytes, "f", "d1");
+    assert_eq!((read.fault, read.life), (None, 42));
+    let (told, walls): (Vec<_>, Vec<_>) = read.facts.into_iter().unzip();
+    assert_eq!(told, facts());
+    assert_eq!(walls[3], NOW + Span(3));
+}
+
+#[test]
+fn a_cut_at_any_byte_costs_what_is_behind_it_alone() {
+    let (bytes, ends) = copy("d1");
+    for cut in 0..bytes.len() {
+        let read = read(&bytes[..cut], "f", "d1");
+        let whole = ends.iter().filter(|e| **e <= cut).count().saturating_sub(1);
+        assert_eq!(read.facts.len(), whole, "{cut}");
+        let fault = read.fault;
+        match cut {
+            0 => assert_eq!(fault, Some(Fault::Empty)),
+            _ if cut < ends[0] => assert_eq!(fault, Some(Fault::NoHead), "{cut}"),
+            _ if ends.contains(&cut) => assert_eq!(fault, None, "{cut}"),
+            _ => assert_eq!(fault, Some(Fault::Torn { at: ends[whole] }), "{cut}"),
+        }
+    }
+}
+
+#[test]
+fn a_flipped_bit_anywhere_is_found_and_nothing_behind_it_believed() {
+    let (bytes, ends) = copy("d1");
+    for at in 0..bytes.len() {
+        for bit in [0, 7] {
+            let mut bytes = bytes.clone();
+            bytes[at] ^= 1 << bit;
+            let read = read(&bytes, "f", "d1");
+            assert!(read.fault.is_some(), "{at}");
+            let whole = ends.iter().filter(|e| **e <= at).count().saturating_sub(1);
+            assert!(read.facts.len() <= whole, "{at}: {}", read.facts.len());
+            assert_eq!(
+                read.facts[..],
+                facts()
+                    .into_iter()
+                    .zip(0..)
+                    .take(read.facts.len())
+                    .map(|(f, n)| (f, NOW + Span(n)))
+                    .collect::<Vec<_>>()[..]
+            );
+        }
+    }
+}
+
+#[test]
+fn each_damage_has_its_own_line() {
+    let (bytes, ends) = copy("d1");
+    let with = |change: &dyn Fn(&mut Vec<u8>)| {
+        let mut bytes = bytes.clone();
+        change(&mut bytes);
+        bytes
+    };
+    let (other, _) = copy("d2");
+    #[rustfmt::skip]
+    let table = [
+        ("another driver's", other.clone(), Fault::Foreign("d2".into()), 0),
+        ("not a copy", b"hello, this is no copy at all".to_vec(), Fault::NoHead, 0),
+        ("a later version", with(&|b| b[9] = 9), Fault::Version(9), 0),
+        ("the tail is zeros: the size was written, the bytes not", with(&|b| b[ends[10]..].fill(0)), Fault::Torn { at: ends[10] }, 10),
+        ("two records change places", with(&|b| { let (x, y, z) = (ends[4], ends[5], ends[6]); let moved = [&b[y..z], &b[x..y]].concat(); b[x..z].copy_from_slice(&moved); }), Fault::Flipped { at: ends[4] }, 4),
+        ("the tail of another copy", with(&|b| { b.truncate(ends[6]); b.extend(&other[ends[6]..]); }), Fault::Flipped { at: ends[6] }, 6),
+        ("a length beyond all bounds", with(&|b| b[ends[2]] = 0xff), Fault::Flipped { at: ends[2] }, 2),
+    ];
+    let mut lines = Vec::new();
+    for (name, bytes, fault, used) in table {
+        let read = read(&bytes, "f", "d1");
+        assert_eq!(
+            (read.fault.clone(), read.facts.len()),
+            (Some(fault), used),
+            "{name}"
+        );
+        let line = read.fault.expect("has one").says();
+        assert!(!line.contains('\n') && line.contains("used"), "{line}");
+        lines.push(line);
+    }
+    assert_eq!(read(&bytes, "g", "d1").fault, Some(Fault::OtherFleet));
+}
+
+/// (fact, written so long before now; how old it counts)
+#[test]
+fn time_that_passed_unknown_counts_as_is_worse() {
+    let month = Span::millis(30 * 24 * 3600 * 1000);
+    let hour = Span::millis(3600 * 1000);
+    let second = Span::millis(1000);
+    let now = NOW + month + month;
+    let (m, d, s) = (
+        member("m", 5, 0, 5),
+        drain("m", 1, Standing::Draining),
+        session(1, 5),
+    );
+    #[rustfmt::skip]
+    let table = [
+        (&m, now - second, Some(second)),
+        (&m, now - hour, None),
+        (&d, now - hour, None),
+        (&s, now - second, Some(second)),
+        (&s, now - month, None),
+        // The clock was set back since: nobody knows how long ago that was.
+        (&m, now + hour, None),
+        (&d, now + hour, Some(Span(0))),
+        (&s, now + month, Some(Span(0))),
+    ];
+    for (fact, wall, counts) in table {
+        assert_eq!(age(fact, wall, now), counts, "{fact:?} {wall:?}");
+    }
+}
+
+#[test]
+fn a_disk_that_fails_is_tried_again_ever_more_rarely_and_then_written_whole() {
+    let every = Span::millis(1000);
+    let mut keeper = Keeper::new(NOW, every);
+    assert_eq!(
+        keeper.wish(NOW),
+        Some(Wish::Whole),
+        "nobody knows what lies there"
+    );
+    assert_eq!(keeper.wish(NOW + every), None, "one at a time");
+    assert_eq!(keeper.done(NOW, Wish::Whole, 10, Ok(())), None);
+    assert_eq!(keeper.next_at(), Point(u64::MAX), "nothing has changed");
+    keeper.changed();
+    assert_eq!(keeper.wish(NOW + Span(1)), None, "in groups");
+    assert_eq!(keeper.wish(NOW + every), Some(Wish::Append));
+    let full = || Err("no space left on device".to_owned());
+    let told = keeper.done(NOW + every, Wish::Append, 0, full());
+    assert_eq!(told, Some(Told::Failing("no space left on device".to_owned())));
+    let (mut at, mut tries) = (keeper.next_at(), 0);
+    while at < NOW + Span::millis(120_000) {
+        assert_eq!(keeper.wish(at), Some(Wish::Whole), "part of it may lie there");
+        assert_eq!(keeper.done(at, Wish::Whole, 0, full()), None, "told once");
+        (at, tries) = (keeper.next_at(), tries + 1);
+    }
+    assert!((5..12).contains(&tries), "{tries}");
+    assert_eq!(keeper.wish(at), Some(Wish::Whole));
+    assert_eq!(keeper.done(at, Wish::Whole, 10, Ok(())), Some(Told::Healed));
+    assert!(!keeper.is_failing());
+    // What is appended stays in a proportion to the copy.
+    let wishes = (0..6000).map(|_| {
+        keeper.changed();
+        at = at + every;
+        let wish = keeper.wish(at).expect("is due");
+        keeper.done(at, wish, 1, Ok(()));
+        wish
+    });
+    assert_eq!(wishes.filter(|w| *w == Wish::Whole).count(), 1);
+}
--- /dev/null
+++ b/tests/told.rs
@@ -0,0 +1,149 @@
+//! What other drivers have told: it counts as far as it is safe, and never as a member's own word to this one.
+
+mod common;
+use asterlatch::interface::*;
+use asterlatch::time::Span;
+use common::*;
+
+fn told(
+    b: &mut Bench,
+    now: u64,
+    member: u32,
+    ago: u64,
+    position: Option<u64>,
+    primary: Option<bool>,
+) -> Results {
+    let sighting = Sighting {
+        position: position.map(at),
+        is_primary: primary,
+    };
+    b.driver.sighting_told(at(now), member, ms(ago), sighting)
+}
+
+/// (told of replica 2 at 10,000: how far it was, how long ago; where a read goes that may be 300 ms old)
+#[test]
+fn a_position_told_by_others_makes_a_replica_ready_no_sooner_than_its_own_would() {
+    #[rustfmt::skip]
+    let table = [
+        ("current", Some(9_900), 50, true),
+        ("too far behind", Some(9_600), 50, false),
+        ("nothing told", None, 50, false),
+        // It was current then; nobody knows what it is now, and members here don't check reads.
+        ("long ago", Some(9_000), 1000, false),
+    ];
+    for (name, position, ago, ready) in table {
+        let s = with(|s| s.members_check_reads = false);
+        let mut b = bench(&s, 2);
+        b.see(9_990, 1, 9_990, true);
+        told(&mut b, 10_000, 2, ago, position, None);
+        let went = b.goes(10_000, BOUNDED);
+        assert_eq!(went, [if ready { 2 } else { 1 }], "{name}");
+    }
+}
+
+#[test]
+fn what_a_member_said_itself_is_not_undone_by_less() {
+    let s = with(|s| s.members_check_reads = false);
+    let mut b = bench(&s, 2);
+    b.see(9_990, 1, 9_990, true);
+    b.see(9_990, 2, 9_950, false);
+    told(&mut b, 10_000, 2, 10, Some(9_000), None);
+    assert_eq!(b.goes(10_000, BOUNDED), [2]);
+}
+
+/// A role counts by the position it was told at, whoever heard it.
+#[test]
+fn a_primary_that_others_have_heard_takes_writes() {
+    let mut b = bench(&settings(), 3);
+    b.see(1000, 1, 1000, true);
+    told(&mut b, 2000, 2, 5, Some(1990), Some(true));
+    assert_eq!(b.goes(2001, WRITE), [2]);
+    // An older claim, told late, changes nothing.
+    told(&mut b, 2002, 3, 900, Some(1100), Some(true));
+    assert_eq!(b.goes(2003, WRITE), [2]);
+    // It has stepped back since.
+    told(&mut b, 2010, 2, 1, Some(2009), Some(false));
+    assert!(b.goes(2011, WRITE).is_empty(), "nobody is named: it waits");
+    // Of one that isn't known here nothing holds.
+    assert!(told(&mut b, 2012, 99, 1, Some(2011), Some(true))
+        .executions
+        .is_empty());
+}
+
+/// Others' word says nothing of how this driver fares with a member.
+#[test]
+fn others_word_brings_no_shunned_member_back() {
+    let mut b = bench(&settings(), 2);
+    b.see(0, 1, 0, true);
+    let (stmt, r) = b.take(1, WRITE);
+    assert_eq!(sent_to(&r), [1]);
+    b.end(2, stmt, 0, 1, Ending::ConnectionLost);
+    told(&mut b, 3, 1, 1, Some(2), Some(true));
+    assert!(b.goes(4, WRITE).is_empty(), "a probe or an answer does");
+    assert_eq!(sent_to(&b.see(5, 1, 5, true)), [1]);
+}
+
+#[test]
+fn a_session_reads_what_it_wrote_through_another_driver() {
+    let s = with(|s| {
+        s.session_age_carried = false;
+        s.members_check_reads = false;
+    });
+    let mut b = bench(&s, 2);
+    b.see(9_000, 1, 9_000, true);
+    b.see(9_000, 2, 8_990, false);
+    assert_eq!(b.goes(9_001, SESSION), [2], "nothing written is known");
+    b.driver.session_told(9, at(8_995));
+    assert_eq!(b.goes(9_002, SESSION), [1], "the replica isn't that far");
+    b.see(9_010, 2, 9_000, false);
+    assert_eq!(b.goes(9_011, SESSION), [2]);
+    b.driver.session_told(9, at(8_000));
+    assert_eq!(b.goes(9_012, SESSION), [2], "an older word undoes nothing");
+}
+
+/// (workload's repeats, scope; sent so long ago; to member 1 of zone 0 or 2 of zone 1; where it goes and what is told)
+#[test]
+fn a_statement_that_another_driver_may_have_sent_goes_out_only_where_that_is_harmless() {
+    let long = Span(u64::MAX / 4);
+    #[rustfmt::skip]
+    let table = [
+        ("none is doubted", Repeat::NonIdempotent, Scope::Group, None, vec![1], ""),
+        ("it may have run", Repeat::NonIdempotent, Scope::All, Some((ms(10), 1)), vec![], "aborted"),
+        ("it may have run at any time", Repeat::NonIdempotent, Scope::All, Some((long, 0)), vec![], "aborted"),
+        ("the store still drops its repeats", Repeat::Deduplicated, Scope::All, Some((ms(900), 1)), vec![1], ""),
+        ("no more", Repeat::Deduplicated, Scope::All, Some((ms(1000), 1)), vec![], "rejected"),
+        ("nobody knows since when", Repeat::Deduplicated, Scope::Group, Some((long, 0)), vec![], "aborted"),
+        ("dropped in the other zone only", Repeat::Deduplicated, Scope::Zone, Some((ms(10), 2)), vec![], ""),
+        ("dropped in its zone", Repeat::Deduplicated, Scope::Zone, Some((ms(10), 1)), vec![1], ""),
+        ("harmless whatever was", Repeat::Idempotent, Scope::All, Some((long, 0)), vec![1], ""),
+    ];
+    for (name, repeat, scope, doubted, goes, told) in table {
+        let s = with(|s| {
+            s.workloads[WRITE].repeat = repeat;
+            s.workloads[WRITE].scope = scope;
+        });
+        let mut b = bench(&s, 2);
+        let zoned = MemberEntry { zone: 1, ..member(2) };
+        b.told(0, zoned);
+        b.see(1, 1, 1, true);
+        let stmt = Statement {
+            doubted,
+            repeat: true,
+            ..statement(500, WRITE, 2000)
+        };
+        let r = b.driver.statement_taken(at(2000), &stmt);
+        assert_eq!(sent_to(&r), goes, "{name}");
+        assert_eq!(answer(&r, 500), told, "{name}");
+        // What waits has its one answer in time; what has one has no other.
+        let later = answer(&b.run_until(2001, 4100), 500);
+        let waits = goes.is_empty() && told.is_empty();
+        assert!(
+            if waits {
+                !later.is_empty()
+            } else {
+                told.is_empty() || later.is_empty()
+            },
+            "{name}: {later}"
+        );
+    }
+}
