--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= $(RELAY_CONFIG)
 
-.PHONY: demo build test lint run check ci bench-config bench-flood fuzz-config trial-upgrade trial-faults
+.PHONY: trial-fleet measure-shared demo build test lint run check ci bench-config bench-flood fuzz-config trial-upgrade trial-faults
 
 build:
 	cargo build --release --locked
@@ -45,3 +45,11 @@
 # SIGKILL on either side at 200 random points of upgrades: make trial-faults SEED=7
 trial-faults:
 	SEED="$(SEED)" cargo test -p asterlatch-driver --release --locked --test upgrade -- --ignored --nocapture kills
+
+# All scenes of several processes with faults between them, six seeds each.
+trial-fleet: build
+	target/release/asterlatch-lab trial-fleet --seeds 6
+
+# Costs of word between drivers by size, in virtual time.
+measure-shared:
+	cargo test -p asterlatch-shared --release --locked --test fleet costs -- --ignored --nocapture
--- a/crates/driver/src/program/sharing.rs
+++ b/crates/driver/src/program/sharing.rs
@@ -63,6 +63,9 @@
             ask: span("ask"),
             window: span("window"),
             most: amount("ids") as usize,
+            // The deployment's, put in at the start.
+            fall_span: Span(0),
+            fall_multiple: 0.0,
         };
         Some(Shares {
             port,
@@ -169,11 +172,18 @@
     };
     let teller = line.clone();
     let peers = shares.others.iter().enumerate().filter(|(_, o)| o.asked);
+    let rules = &config.settings.0;
+    let terms = Terms {
+        fall_span: rules.fall_span,
+        fall_multiple: rules.fall_multiple,
+        ..shares.terms
+    };
     let sharing = Sharing::new(
         now,
-        shares.terms,
+        terms,
         peers.map(|(n, _)| n).collect(),
         shares.settings.peers.clone(),
+        (config.name.clone(), life),
         Box::new(move |word| teller.tell(word)),
     );
     let keeping = folder
@@ -519,7 +529,9 @@
             ..
         } => format!("group {group}, at {position}, primary at {primary_at}, replica at {replica_at}, started {started_ms}"),
         Fact::Drain { list, standing, .. } => format!("{standing:?} by list {list}"),
-        Fact::Cold { work_us, .. } => format!("{work_us} us of work"),
+        Fact::Cold {
+            work_us, carries_us, ..
+        } => format!("{work_us} us of work, carries {carries_us} us a second"),
         Fact::Session { position, .. } => format!("written at {position}"),
         Fact::Driver { life, list, file, caught_up, .. } => {
             format!("life {life}, list {list}, file {file:016x}, caught up {caught_up}")
--- a/crates/driver/src/routing/figures.rs
+++ b/crates/driver/src/routing/figures.rs
@@ -54,6 +54,7 @@
     inquiries_unanswered,
     statements_given_away,
     peers_lost,
+    cold_shares,
     taken_back_rejected,
     taken_back_aborted,
     probes_sent,
--- a/crates/driver/src/routing/owner/beside.rs
+++ b/crates/driver/src/routing/owner/beside.rs
@@ -8,7 +8,7 @@
 use crate::routing::tables::Members;
 use crate::transport::listener::Arrival;
 use asterlatch::choice;
-use asterlatch::interface::{Answer, Settings};
+use asterlatch::interface::{Answer, Settings, Told};
 use asterlatch::time::{Point, Span};
 use asterlatch_takeover::joint::Word;
 use asterlatch_takeover::ledger::{Verdict, Verdicts};
@@ -52,11 +52,11 @@
             Word::Open { member, count } => self
                 .members
                 .find(member)
-                .map(|m| self.module.open_elsewhere(now, m, *count as usize)),
+                .map(|m| self.module.told(now, m, Told::Open(*count as usize))),
             Word::Drains { member, since_ms } => self.members.find(member).map(|m| {
                 self.errands.let_go(m);
                 self.figures.drains_from_beside += 1;
-                self.module.drain_told(now, m, vitals::unix(*since_ms))
+                self.module.told(now, m, Told::Drains(vitals::unix(*since_ms)))
             }),
             Word::Heard => None,
         };
--- a/crates/driver/src/routing/owner/sharing.rs
+++ b/crates/driver/src/routing/owner/sharing.rs
@@ -30,18 +30,68 @@
         let Some(sharing) = &mut self.sharing else { return };
         let members = &self.members;
         sharing.reach(now, |m| members.told_as(m));
-        for (name, verdict) in sharing.inquiries.due(now) {
+        let due = sharing.inquiries.due(now);
+        if sharing.cold_at.take_if(|at| *at <= now).is_some() {
+            self.share_cold(now);
+        }
+        for (name, verdict) in due {
             self.figures.inquiries_unanswered += 1;
             self.decided(now, name, verdict);
         }
     }
 
+    /// Reckons what each cold member may be sent from here, and tells what was.
+    fn share_cold(&mut self, now: Point) {
+        let Some(sharing) = &mut self.sharing else { return };
+        let (tick, life, own) = (sharing.terms.tick, sharing.life, sharing.own_name.clone());
+        // While none is cold a look now and then finds the next one.
+        sharing.cold_at = Some(now + tick);
+        let there: Vec<String> = sharing.there.iter().map(|p| sharing.names[*p].clone()).collect();
+        let there: Vec<&str> = there.iter().map(String::as_str).collect();
+        let view = self.module.cold_view(now).into_iter();
+        let cold: Vec<_> = view
+            .filter_map(|(id, warmth, carries)| Some((id, self.members.told_as(id)?, warmth, carries)))
+            .collect();
+        let names: Vec<String> = cold.iter().map(|(_, (name, ..), ..)| name.clone()).collect();
+        sharing.cold.keep(&names);
+        let (mut facts, mut shares) = (Vec::new(), Vec::new());
+        for (id, (name, started_ms, _), warmth, carries) in cold {
+            let known = (name.as_str(), started_ms);
+            let (share, sum) = sharing.cold.share(now, known, (warmth, carries), &there);
+            shares.extend(share.map(|work| (id, work)));
+            let fact = Fact::Cold {
+                member: name,
+                started_ms,
+                driver: own.clone(),
+                life,
+                said: sum.said,
+                work_us: sum.work_us,
+                carries_us: sum.carries_us,
+            };
+            facts.push((fact, Span(0)));
+        }
+        if !facts.is_empty() {
+            (sharing.tell)(Word::Observed(facts));
+        }
+        for (id, work) in shares {
+            self.figures.cold_shares += 1;
+            // It holds a little beyond the next telling.
+            let until = now + tick + tick;
+            let results = self.module.told(now, id, Told::Cold { work, until });
+            self.carry_out(now, results);
+        }
+    }
+
     /// An execution goes out; others may have to know.
     pub(super) fn shares_execution(&mut self, now: Point, stmt: u32, number: u8, member: u32) {
         let Some(sharing) = &mut self.sharing else { return };
         let Some((name, workload, session)) = self.statements.marks(stmt) else {
             return;
         };
+        let work = self.module.work_of(workload);
+        if let Some(name) = self.members.name(member).filter(|n| sharing.cold.is_cold(n)) {
+            sharing.cold.sends(now, name, work);
+        }
         let out = Out {
             name,
             session,
@@ -228,7 +278,11 @@
                 }
             }
             Output::Presence(change) => {
-                let Some(sharing) = &self.sharing else { return };
+                let Some(sharing) = &mut self.sharing else { return };
+                match change.to {
+                    Presence::There | Presence::Suspected => drop(sharing.there.insert(change.peer)),
+                    Presence::Gone | Presence::Unheard => drop(sharing.there.remove(&change.peer)),
+                }
                 let (to, from) = (change.to.name(), change.from.name());
                 let name = sharing.names.get(change.peer).map_or("", String::as_str);
                 if change.to == Presence::Gone {
@@ -273,7 +327,7 @@
                 // Never as new as what it says to this driver itself.
                 let ago = (now - told).max(Span(1));
                 for sighting in sightings(*position, *primary_at, *replica_at) {
-                    let results = self.module.sighting_told(now, member, ago, sighting);
+                    let results = self.module.told(now, member, Told::Said(ago, sighting));
                     self.carry_out(now, results);
                 }
             }
@@ -291,7 +345,9 @@
                 };
                 self.errands.let_go(member);
                 self.figures.drains_from_others += 1;
-                let results = self.module.drain_told(now, member, vitals::unix(*started_ms));
+                let results = self
+                    .module
+                    .told(now, member, Told::Drains(vitals::unix(*started_ms)));
                 self.carry_out(now, results);
             }
             Fact::Session { session, position } => {
@@ -300,7 +356,22 @@
                     self.module.session_told(*session, position);
                 }
             }
-            Fact::Cold { .. } | Fact::Driver { .. } => {}
+            Fact::Cold {
+                member,
+                started_ms,
+                driver,
+                life,
+                work_us,
+                carries_us,
+                ..
+            } => {
+                let is_known = self.members.find(member).is_some();
+                if let Some(sharing) = self.sharing.as_mut().filter(|_| is_known) {
+                    let cold = &mut sharing.cold;
+                    cold.told(told, member, *started_ms, driver, *life, *work_us, *carries_us);
+                }
+            }
+            Fact::Driver { .. } => {}
         }
         self.tell_ended(now);
     }
--- a/crates/driver/src/routing/sharing.rs
+++ b/crates/driver/src/routing/sharing.rs
@@ -3,6 +3,7 @@
 
 use asterlatch::interface::{Sighting, Statement};
 use asterlatch::time::{Point, Span};
+use asterlatch_shared::cold::{self, Cold};
 use asterlatch_shared::doubts::{Inquiries, Log};
 use asterlatch_shared::engine::Output;
 use asterlatch_shared::fact::{Fact, Standing};
@@ -45,6 +46,9 @@
     pub window: Span,
     /// Ids kept for that.
     pub most: usize,
+    /// Work within this span pushes a cold member over, where it is so many times what that bears.
+    pub fall_span: Span,
+    pub fall_multiple: f64,
 }
 
 /// A statement that waits for others' word.
@@ -85,6 +89,13 @@
     pub out: BTreeMap<(u32, u8), Out>,
     /// The version of the list in force.
     pub list: u64,
+    /// What all send to cold members, and when their shares are reckoned next.
+    pub cold: Cold,
+    pub cold_at: Option<Point>,
+    /// Drivers that are there, by number.
+    pub there: BTreeSet<usize>,
+    pub own_name: String,
+    pub life: u64,
     drained: BTreeSet<String>,
     saw: BTreeMap<u32, Saw>,
     waiting: Vec<(Fact, Point)>,
@@ -100,7 +111,14 @@
 
 impl Sharing {
     /// `peers` are those asked about statements. Another life of this driver may have sent any before now.
-    pub fn new(now: Point, terms: Terms, asked: Vec<usize>, names: Vec<String>, tell: Tell) -> Sharing {
+    pub fn new(
+        now: Point,
+        terms: Terms,
+        asked: Vec<usize>,
+        names: Vec<String>,
+        own: (String, u64),
+        tell: Tell,
+    ) -> Sharing {
         Sharing {
             tell,
             terms,
@@ -111,6 +129,15 @@
             parked: BTreeMap::new(),
             out: BTreeMap::new(),
             list: 0,
+            cold: Cold::new(cold::Terms {
+                span: terms.fall_span,
+                multiple: terms.fall_multiple,
+                tick: terms.tick,
+            }),
+            cold_at: Some(now),
+            there: BTreeSet::new(),
+            own_name: own.0,
+            life: own.1,
             drained: BTreeSet::new(),
             saw: BTreeMap::new(),
             waiting: Vec::new(),
@@ -119,7 +146,7 @@
     }
 
     pub fn next_at(&self) -> Option<Point> {
-        let times = [self.tell_at, self.inquiries.next_at()];
+        let times = [self.tell_at, self.inquiries.next_at(), self.cold_at];
         times.into_iter().flatten().min()
     }
 
--- a/crates/driver/tests/fleet.rs
+++ b/crates/driver/tests/fleet.rs
@@ -66,6 +66,7 @@
     ids_in_doubt_while_one_is_stopped_and_one_is_killed: "doubt",
     links_that_lose_garble_and_are_slow: "lossy",
     one_is_paused: "paused",
+    members_that_are_cold: "cold",
     a_rolling_restart: "rolling",
 }
 
--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -30,7 +30,8 @@
         let zone = if member % 2 == 0 { "heredia" } else { "cartago" };
         json!({
             "name": format!("m{member}"), "address": address.to_string(), "zone": zone,
-            "group": store.group(*member), "weight": 1.0, "since_ms": 0,
+            "group": store.group(*member), "weight": 1.0,
+            "since_ms": store.began(now, *member).map_or(0, |at| at.0 / 1000),
             "status": if store.drains(now, *member) { "DRAINING" } else { "SERVING" },
             "rank": if store.primary(store.started, store.group(*member)) == *member { "source" } else { "copy" },
         })
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -418,6 +418,11 @@
             .broken
             .insert("drains: sent long after it was told", report.after_drains);
     }
+    if store.pushed_over > 0 {
+        outcome
+            .broken
+            .insert("cold: a member was pushed over", store.pushed_over);
+    }
     let r = &mut outcome.repeats;
     for roamed in records {
         let is_unsafe = store.workloads[roamed.record.workload].kind == Kind::Write { dropped: false };
@@ -495,7 +500,7 @@
 }
 
 /// Scenes by name: what they are for, and what befalls whom. The fleet has five drivers.
-pub const SCENES: [(&str, &str); 9] = [
+pub const SCENES: [(&str, &str); 10] = [
     ("killed", "1s driver 2 is killed for 2s"),
     ("one-way", "500ms link 1 to 2 is cut for 4s"),
     (
@@ -510,6 +515,7 @@
     ("doubt", "1s driver 1 stops for 1s\n3s driver 2 is killed for 1s"),
     ("lossy", "0s links lose 30% for 5s\n0s links garble 5% for 5s\n0s links slow 20ms for 5s"),
     ("paused", "1s driver 4 stops for 3s"),
+    ("cold", "500ms member 2 starts for 4s\n500ms member 3 starts for 4s\n2s driver 5 is killed for 1s"),
     (
         "rolling",
         "500ms driver 1 is killed for 200ms\n1500ms driver 2 is killed for 200ms\n2500ms driver 3 is killed for 200ms",
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -32,6 +32,8 @@
     Lags(Span),
     /// Listed as draining.
     Drains,
+    /// It has just started, and is cold.
+    Starts,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -240,8 +242,11 @@
         ["fails", rest @ ..] => (Fault::Fails, rest),
         ["loses", "answers", rest @ ..] => (Fault::LosesAnswers, rest),
         ["drains", rest @ ..] => (Fault::Drains, rest),
+        ["starts", rest @ ..] => (Fault::Starts, rest),
         _ => {
-            return Err("names no fault: slow, lags, hangs, is down, fails, loses answers, drains".to_owned())
+            return Err(
+                "names no fault: slow, lags, hangs, is down, fails, loses answers, drains, starts".to_owned(),
+            )
         }
     };
     let ["for", long] = rest else {
@@ -300,11 +305,25 @@
         })
     }
 
-    /// When the list of members changes next: drains begin or end.
+    /// When a member last began anew, up to now.
+    pub fn began(&self, now: Span, member: u32) -> Option<Span> {
+        let starts = self.0.iter().filter_map(|e| match e {
+            Event::Fault {
+                target: Target::Member(m),
+                fault: Fault::Starts,
+                from,
+                ..
+            } if *m == member && *from <= now => Some(*from),
+            _ => None,
+        });
+        starts.max()
+    }
+
+    /// When the list of members changes next: drains begin or end, or a member has begun anew.
     pub fn next_listing(&self, now: Span) -> Option<Span> {
         let times = self.0.iter().filter_map(|e| match e {
             Event::Fault {
-                fault: Fault::Drains,
+                fault: Fault::Drains | Fault::Starts,
                 from,
                 until,
                 ..
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -2,11 +2,20 @@
 
 use crate::script::{Fault, Script};
 use asterlatch::time::{Point, Span};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How long after it was listed a draining member may still be sent something, and the protocol's slack.
 const GRACE: Span = Span::millis(2050);
 
+/// What a cold member bears, as the drivers' settings say it: work within this span, this many times of what it bears by
+/// then, which grows from a part of a warm one's within this time.
+const FALL_SPAN: Span = Span::millis(2000);
+const FALL_MULTIPLE: f64 = 4.0;
+const COLD: f64 = 0.2;
+const WARM_WITHIN: Span = Span::millis(3000);
+/// A warm member has one core, as the drivers take it to have at least.
+const BEARS: f64 = 1.0;
+
 /// What a workload's statements are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -104,6 +113,9 @@
     /// Executions that came, and connections that were opened.
     /// Executions that came to members which had been listed as draining for longer than the grace.
     pub after_drains: u64,
+    /// Executions that pushed a cold member over, or would have; and what came to each member lately.
+    pub pushed_over: u64,
+    recent: BTreeMap<u32, VecDeque<(Point, Span)>>,
     /// Statements that came to any member.
     seen: BTreeSet<u64>,
     pub executions: u64,
@@ -125,6 +137,8 @@
             effects: BTreeMap::new(),
             reads: BTreeMap::new(),
             after_drains: 0,
+            pushed_over: 0,
+            recent: BTreeMap::new(),
             seen: BTreeSet::new(),
             executions: 0,
             connections: 0,
@@ -198,10 +212,37 @@
         (!hangs).then(|| (self.position(now, member), self.is_primary(now, member)))
     }
 
+    pub fn began(&self, now: Point, member: u32) -> Option<Point> {
+        let began = self.script.began(now - self.started, member);
+        began.map(|at| self.started + at)
+    }
+
+    /// Counts work, and whether a cold member falls over under it: measured by what warm ones carry on the mean.
+    fn weigh(&mut self, now: Point, member: u32, work: Span) {
+        for queue in self.recent.values_mut() {
+            while queue.pop_front_if(|(at, _)| now - *at >= FALL_SPAN).is_some() {}
+        }
+        self.recent.entry(member).or_default().push_back((now, work));
+        let cold = |m: u32| self.began(now, m).filter(|at| now - *at < WARM_WITHIN);
+        let Some(began) = cold(member) else { return };
+        let sum = |m: &u32| {
+            self.recent
+                .get(m)
+                .map_or(0, |q| q.iter().map(|(_, w)| w.0).sum::<u64>())
+        };
+        let warm: Vec<u32> = self.members().filter(|m| cold(*m).is_none()).collect();
+        let carried =
+            warm.iter().map(sum).sum::<u64>() as f64 / warm.len().max(1) as f64 / FALL_SPAN.0 as f64;
+        let warmth = COLD + (1.0 - COLD) * (now - began).ratio(WARM_WITHIN);
+        let bears = carried.max(BEARS) * warmth * FALL_MULTIPLE * FALL_SPAN.0 as f64;
+        self.pushed_over += u64::from(sum(&member) as f64 > bears);
+    }
+
     /// A member has the whole of a statement.
     pub fn execute(&mut self, now: Point, member: u32, ask: &Ask) -> Outcome {
         self.executions += 1;
         self.seen.insert(ask.id);
+        self.weigh(now, member, self.workloads[ask.workload].work);
         let drains = self.script.faults(now - self.started, member, None);
         let late = drains.filter(|(f, from)| *f == Fault::Drains && now - (self.started + *from) > GRACE);
         self.after_drains += u64::from(late.count() > 0);
--- a/crates/lab/tests/decisions.rs
+++ b/crates/lab/tests/decisions.rs
@@ -3,7 +3,7 @@
 use asterlatch::time::{Point, Span};
 use asterlatch_lab::arrivals::Arrivals;
 use asterlatch_lab::judge::{judge, Record, Told, BREACHES};
-use asterlatch_lab::script::{Event, Fault, Script, Target};
+use asterlatch_lab::script::{Event, Fault, Harm, Outage, Script, Target};
 use asterlatch_lab::store::{workloads, Ask, Reply, Store};
 use asterlatch_lab::wire::{ask, of_value, value};
 
@@ -25,6 +25,14 @@
         from: ms(from),
         until: ms(until),
     };
+    let link = |from_drivers: &[u32], to_drivers: &[u32], both_ways, harm, from, until| Event::Link {
+        from_drivers: from_drivers.to_vec(),
+        to_drivers: to_drivers.to_vec(),
+        both_ways,
+        harm,
+        from: ms(from),
+        until: ms(until),
+    };
     #[rustfmt::skip]
     let good = [
         ("2s member 3 slow 50ms for 1s", fault(Target::Member(3), Fault::Slow(ms(50)), 2000, 3000)),
@@ -32,6 +40,13 @@
         ("0s member 1 is down for 10ms", fault(Target::Member(1), Fault::Down, 0, 10)),
         ("1s member 1 loses answers for 1s", fault(Target::Member(1), Fault::LosesAnswers, 1000, 2000)),
         ("1s member 1 lags 3s for 1s", fault(Target::Member(1), Fault::Lags(ms(3000)), 1000, 2000)),
+        ("1s member 2 starts for 4s", fault(Target::Member(2), Fault::Starts, 1000, 5000)),
+        ("5s driver 2 is killed for 3s", Event::Driver { driver: 2, outage: Outage::Killed, from: ms(5000), until: ms(8000) }),
+        ("5s driver 1 hears no list for 1s", Event::Driver { driver: 1, outage: Outage::NoList, from: ms(5000), until: ms(6000) }),
+        ("6s link 1 to 2 is cut for 2s", link(&[1], &[2], false, Harm::Cut, 6000, 8000)),
+        ("6s split 1 2 from 3 4 for 2s", link(&[1, 2], &[3, 4], true, Harm::Cut, 6000, 8000)),
+        ("0s links lose 30% for 1s", link(&[], &[], true, Harm::Loses(300), 0, 1000)),
+        ("0s links slow 20ms for 1s", link(&[], &[], true, Harm::Slow(ms(20)), 0, 1000)),
         ("4s group 2 switches to 7", Event::Switch { group: 2, to: 7, at: ms(4000) }),
     ];
     for (line, event) in good {
@@ -48,8 +63,13 @@
         ("-2s member 3 hangs for 1s", "'-2s' is out of bounds"),
         ("NaNs member 3 hangs for 1s", "'NaNs' is out of bounds"),
         ("2s member three hangs for 1s", "'three' is no number"),
-        ("2s somebody hangs for 1s", "names neither member, primary nor group"),
+        ("2s somebody hangs for 1s", "names neither member, primary, group, driver, link nor split"),
         ("2s member 3 sulks for 1s", "names no fault"),
+        ("2s driver 3 sulks for 1s", "names nothing that befalls a driver"),
+        ("2s link 1 to 2 sulks for 1s", "names nothing that befalls a link"),
+        ("2s links lose some for 1s", "'some' is no share"),
+        ("2s split 1 2 for 1s", "a split is 'from' others"),
+        ("2s split 1 from 2", "doesn't say for how long"),
         ("2s member 3 hangs", "doesn't say for how long"),
         ("2s member 3 hangs for ever", "'ever' is no span"),
     ];
@@ -251,3 +271,16 @@
     assert_eq!(of_value(&value(0xabc, at(5))), Some((0xabc, at(5))));
     assert_eq!(of_value(b"whatever"), None);
 }
+
+/// What holds of what goes from one driver to another, in each direction by itself.
+#[test]
+fn links_are_harmed_as_the_script_says() {
+    let text = "1s link 1 to 2 is cut for 1s\n2s split 1 2 from 3 for 1s\n3s links lose 10% for 1s\n3s link 2 and 3 slow 5ms for 1s";
+    let script = Script::read(text).expect("can be read");
+    let cut = |at, one, other| script.way(ms(at), one, other).cut;
+    assert!(cut(1500, 1, 2) && !cut(1500, 2, 1) && !cut(1500, 1, 3) && !cut(999, 1, 2));
+    assert!(cut(2500, 1, 3) && cut(2500, 3, 2) && !cut(2500, 1, 2) && !cut(3000, 1, 3));
+    let way = script.way(ms(3500), 3, 2);
+    assert_eq!((way.loses, way.slow, way.cut), (100, ms(5), false));
+    assert_eq!(script.way(ms(3500), 1, 2).slow, Span(0));
+}
--- a/crates/shared/src/fact.rs
+++ b/crates/shared/src/fact.rs
@@ -37,13 +37,16 @@
         standing: Standing,
     },
     /// How much work a driver has sent to a member since that started, while it was cold. Its owner is that driver; it
-    /// only grows within one life of the driver. Summed over drivers it is what the member has borne.
+    /// only grows within one life of the driver. Summed over drivers it is what the member has borne. Beside it what warm
+    /// members carry for that driver, in millionths of a core. `said` counts its tellings.
     Cold {
         member: String,
         started_ms: u64,
         driver: String,
         life: u64,
+        said: u64,
         work_us: u64,
+        carries_us: u64,
     },
     /// Where a session's last write was committed, as the driver that carried it was told. The furthest wins. A read of
     /// that session must see it; one that isn't known proves nothing.
@@ -233,11 +236,21 @@
                 },
             ) => larger(self, other, (started_ms, list, standing) >= (s, l, st)),
             (
-                Fact::Cold { life, work_us, .. },
                 Fact::Cold {
-                    life: l, work_us: w, ..
+                    life,
+                    said,
+                    work_us,
+                    carries_us,
+                    ..
+                },
+                Fact::Cold {
+                    life: l,
+                    said: s,
+                    work_us: w,
+                    carries_us: c,
+                    ..
                 },
-            ) => larger(self, other, (life, work_us) >= (l, w)),
+            ) => larger(self, other, (life, said, work_us, carries_us) >= (l, s, w, c)),
             (Fact::Session { position, .. }, Fact::Session { position: p, .. }) => {
                 larger(self, other, position >= p)
             }
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `peers` | who is there, suspected, gone, back; how late its word comes |
 //! | `spread` | what is told to whom, when, and how much of it |
 //! | `catchup` | how a driver that was away comes by what it missed |
+//! | `cold` | how much work a cold member may be sent from here, by what all have sent |
 //! | `doubts` | statements that must not run twice: who may have sent one, and whether it may go out here |
 //! | `engine` | all of it together, input by input |
 //! | `keep` | what of a copy outlives the process, and what of that is used again |
@@ -19,6 +20,7 @@
 
 pub mod book;
 pub mod catchup;
+pub mod cold;
 pub mod doubts;
 pub mod engine;
 pub mod fact;
--- a/crates/shared/src/wire.rs
+++ b/crates/shared/src/wire.rs
@@ -115,8 +115,10 @@
             started_ms,
             driver,
             life,
+            said,
             work_us,
-        } => body(&(age, member, started_ms, driver, life, work_us)),
+            carries_us,
+        } => body(&(age, member, started_ms, driver, life, said, work_us, carries_us)),
         Fact::Session { session, position } => body(&(age, session, position)),
         Fact::Driver {
             name,
@@ -154,13 +156,15 @@
             (fact, age)
         }
         Kind::Cold => {
-            let (age, member, started_ms, driver, life, work_us) = read(bytes)?;
+            let (age, member, started_ms, driver, life, said, work_us, carries_us) = read(bytes)?;
             let fact = Fact::Cold {
                 member,
                 started_ms,
                 driver,
                 life,
+                said,
                 work_us,
+                carries_us,
             };
             (fact, age)
         }
--- /dev/null
+++ b/crates/shared/tests/cold.rs
@@ -0,0 +1,198 @@
+//! What all drivers together send a cold member: within the rule's budget in every span, whatever is lost on the way, and
+//! more of it than each alone dares.
+
+use asterlatch::fleet::Fleet;
+use asterlatch::time::{Point, Span};
+use asterlatch_shared::cold::{Cold, Terms};
+
+const TERMS: Terms = Terms {
+    span: Span::millis(2000),
+    multiple: 4.0,
+    tick: Span::millis(100),
+};
+const NOW: Point = Point(1_000_000_000);
+
+fn at(ms: u64) -> Point {
+    NOW + Span::millis(ms)
+}
+
+/// From a fifth to all within ten seconds.
+fn warm_at(ms: u64) -> f64 {
+    (0.2 + 0.8 * ms as f64 / 10_000.0).min(1.0)
+}
+
+struct Run {
+    /// The most that was sent in a span, of what the member bears.
+    worst: f64,
+    served: u64,
+    refused: u64,
+}
+
+/// Drivers with uneven traffic, a member that warms up from a fifth over ten seconds; `told` is the part of tellings that
+/// come through, each a tick late; nothing where each is alone.
+fn run(drivers: usize, told: Option<f64>, demand: f64, seed: u64) -> Run {
+    let mut chance = fastrand::Rng::with_seed(seed);
+    // What warm members carry for each: a tenth of the mean to three times.
+    let parts: Vec<f64> = (0..drivers).map(|_| 0.1 + 2.9 * chance.f64()).collect();
+    let all: f64 = parts.iter().sum();
+    // A warm member carries 0.6 of a core; each statement takes 3 ms.
+    let (bears, work) = (0.6, Span::millis(3));
+    let carries: Vec<f64> = parts.iter().map(|p| p / all * bears).collect();
+    let mut colds: Vec<Cold> = (0..drivers).map(|_| Cold::new(TERMS)).collect();
+    let names: Vec<String> = (0..drivers).map(|n| format!("d{n}")).collect();
+    let mut allowed = vec![None; drivers];
+    let mut ready = vec![Point(0); drivers];
+    let mut sent: Vec<(Point, f64)> = Vec::new();
+    let (mut served, mut refused) = (0, 0);
+    let mut late: Vec<(usize, Point, u64, u64)> = Vec::new();
+    for ms in 0..8000u64 {
+        let now = at(ms);
+        // On the mean of the last span.
+        let warmth = warm_at(ms.saturating_sub(1000));
+        if ms % 100 == 0 {
+            let words = std::mem::take(&mut late);
+            for n in 0..drivers {
+                let there: Vec<&str> = (0..drivers)
+                    .filter(|o| *o != n)
+                    .map(|o| names[o].as_str())
+                    .collect();
+                for (who, when, work_us, carries_us) in words.iter().filter(|(who, ..)| *who != n) {
+                    if told.is_some_and(|part| chance.f64() < part) {
+                        colds[n].told(*when, "m", 5, &names[*who], 1, *work_us, *carries_us);
+                    }
+                }
+                let (share, sum) = colds[n].share(now, ("m", 5), (warmth, carries[n]), &there);
+                allowed[n] = share.filter(|_| told.is_some());
+                late.push((n, now, sum.work_us, sum.carries_us));
+            }
+        }
+        for n in 0..drivers {
+            // Each wants `demand` times what a warm member would carry for it.
+            if chance.f64() >= demand * carries[n] / 3.0 {
+                continue;
+            }
+            let goes = match &mut allowed[n] {
+                Some(left) if *left > Span(0) => {
+                    *left = *left - work;
+                    true
+                }
+                Some(_) => false,
+                // As one that is alone: its last send is a debt, paid off by its even part.
+                None => {
+                    let fleet = Fleet::of(drivers as u32);
+                    let pays = fleet.cold_carried(carries[n]) * warmth * fleet.cold_multiple(4.0, false);
+                    let free = ready[n] <= now;
+                    if free {
+                        ready[n] = now + work * (1.0 / pays);
+                    }
+                    free
+                }
+            };
+            if goes {
+                colds[n].sends(now, "m", work);
+                sent.push((now, work.ratio(Span(1_000_000))));
+                served += 1;
+            } else {
+                refused += 1;
+            }
+        }
+    }
+    let mut worst: f64 = 0.0;
+    for (n, (from, _)) in sent.iter().enumerate() {
+        let within = sent[n..].iter().take_while(|(t, _)| *t < *from + TERMS.span);
+        let sum: f64 = within.map(|(_, w)| w).sum();
+        let warmth = warm_at((*from - NOW).0 / 1000 + 1000);
+        worst = worst.max(sum / (bears * warmth * 2.0));
+    }
+    Run {
+        worst,
+        served,
+        refused,
+    }
+}
+
+#[test]
+fn sums_keep_the_rule_and_refuse_less_than_caution_does() {
+    println!("drivers  told   alone: served, refused, worst   by sums: served, refused, worst");
+    for drivers in [1, 5, 20, 100] {
+        for part in [1.0, 0.7] {
+            let alone = run(drivers, None, 2.0, 3);
+            let sums = run(drivers, Some(part), 2.0, 3);
+            println!(
+                "{drivers:>7}  {part:.1}   {:>6} {:>6} {:.2}   {:>6} {:>6} {:.2}",
+                alone.served, alone.refused, alone.worst, sums.served, sums.refused, sums.worst
+            );
+            assert!(sums.worst < 4.0, "{drivers} {part}: {}", sums.worst);
+            assert!(alone.worst < 4.0, "{drivers}: {}", alone.worst);
+            assert!(sums.refused < alone.refused, "{drivers} {part}");
+        }
+    }
+}
+
+/// (who has told, how many ticks ago; whether a share is known)
+#[test]
+fn nothing_is_known_where_one_that_is_there_is_silent() {
+    let known = |told: &[(&str, u64)], there: &[&str]| {
+        let mut cold = Cold::new(TERMS);
+        for (who, ticks) in told {
+            cold.told(at(1000 - ticks * 100), "m", 5, who, 1, 0, 100_000);
+        }
+        cold.share(at(1000), ("m", 5), (0.5, 0.1), there).0
+    };
+    assert!(known(&[], &[]).is_some(), "alone there is nobody to know of");
+    assert!(known(&[], &["a"]).is_none());
+    assert!(known(&[("a", 1)], &["a"]).is_some());
+    assert!(known(&[("a", 6)], &["a"]).is_none(), "it was too long ago");
+    assert!(known(&[("a", 1)], &["a", "b"]).is_none());
+    assert!(known(&[("a", 1), ("b", 9)], &["a"]).is_some(), "b has gone");
+    // The longer ago, the less is left: it may have used its share since.
+    let left = |ticks| known(&[("a", ticks)], &["a"]).map_or(0, |s| s.0);
+    assert!(
+        left(0) > left(1) && left(1) > left(2),
+        "{} {} {}",
+        left(0),
+        left(1),
+        left(2)
+    );
+}
+
+/// (life, sum, at) one after the other; what counts as sent within the span at 3000
+#[test]
+fn a_sum_counts_once_whatever_becomes_of_who_told_it() {
+    type Case<'a> = (&'a str, &'a [(u64, u64, u64)], u64);
+    #[rustfmt::skip]
+    let table: [Case; 5] = [
+        ("it grows", &[(1, 100, 500), (1, 400, 1500), (1, 900, 2900)], 800),
+        ("its first word is all recent", &[(1, 700, 2900)], 700),
+        ("an older word changes nothing", &[(1, 900, 2900), (1, 400, 1500)], 900),
+        ("a new life begins at nothing; what the former sent counts on", &[(1, 500, 2000), (2, 300, 2900)], 800),
+        ("a former life's late word", &[(2, 300, 2000), (1, 900, 2900)], 300),
+    ];
+    for (name, words, sent) in table {
+        let mut cold = Cold::new(TERMS);
+        for (life, sum, ms) in words {
+            cold.told(at(*ms), "m", 5, "a", *life, *sum, 0);
+        }
+        // All is this driver's own share: what is missing of the budget was sent.
+        let (share, _) = cold.share(at(3000), ("m", 5), (1.0, 1.0), &[]);
+        let budget = 2_000_000.0 * 4.0 * 0.75;
+        assert_eq!(share.map(|s| budget as u64 - s.0), Some(sent), "{name}");
+    }
+}
+
+#[test]
+fn a_member_that_starts_anew_owes_nothing() {
+    let mut cold = Cold::new(TERMS);
+    cold.told(at(0), "m", 5, "a", 1, 5_000_000, 1_000_000);
+    assert_eq!(cold.share(at(10), ("m", 5), (0.2, 0.1), &["a"]).0, Some(Span(0)));
+    cold.told(at(20), "m", 6, "a", 1, 1000, 1_000_000);
+    assert!(cold.share(at(30), ("m", 6), (0.2, 0.1), &["a"]).0 > Some(Span(0)));
+    cold.told(at(40), "m", 5, "a", 1, 9_000_000, 1_000_000);
+    assert!(
+        cold.share(at(50), ("m", 6), (0.2, 0.1), &["a"]).0 > Some(Span(0)),
+        "of a former start"
+    );
+    assert!(cold.is_cold("m"));
+    cold.keep(&[]);
+    assert!(!cold.is_cold("m"));
+}
--- a/crates/shared/tests/facts.rs
+++ b/crates/shared/tests/facts.rs
@@ -33,13 +33,15 @@
             list,
             standing
         }),
-        (name(), figure(), name(), figure(), figure()).prop_map(
-            |(member, started_ms, driver, life, work_us)| Fact::Cold {
+        (name(), figure(), name(), figure(), figure(), figure(), figure()).prop_map(
+            |(member, started_ms, driver, life, said, work_us, carries_us)| Fact::Cold {
                 member,
                 started_ms,
                 driver,
                 life,
-                work_us
+                said,
+                work_us,
+                carries_us
             }
         ),
         (1u64..3, figure()).prop_map(|(session, position)| Fact::Session { session, position }),
--- a/crates/shared/tests/fleet.rs
+++ b/crates/shared/tests/fleet.rs
@@ -306,3 +306,71 @@
     net.run(seconds(1));
     assert!(asked(&net, 2) <= 3, "not for ever");
 }
+
+/// `make measure-shared`: what telling costs by size, and how long news and a heal take.
+#[test]
+#[ignore = "a measurement: make measure-shared"]
+fn costs_by_size() {
+    println!("drivers  bytes/s  datagrams/s  facts/s sent  news at all (ms: half, 99 %, last)  heal (s)");
+    for count in [5, 20, 100, 300] {
+        let mut net = Net::new(count, 1);
+        net.run(seconds(10 + count as u64 / 10));
+        let mut chance = fastrand::Rng::with_seed(9);
+        let sums = |net: &Net| {
+            let all = net.drivers.iter().map(|d| d.engine.counts);
+            all.fold((0, 0, 0), |(b, d, f), c| {
+                (b + c.bytes_sent, d + c.datagrams_sent, f + c.facts_told)
+            })
+        };
+        // Thin traffic: each hears twenty positions a second, of 109 members.
+        let (before, began, mut at) = (sums(&net), net.now, 1000);
+        for _ in 0..50 {
+            for n in 0..count {
+                for _ in 0..2 {
+                    at += 1;
+                    net.observe(n, member(&format!("m{}", chance.u32(0..109)), at, 0, 5));
+                }
+            }
+            net.run(Span::millis(100));
+        }
+        let passed = (net.now - began).ratio(seconds(1)) * count as f64;
+        let after = sums(&net);
+        let each = |a: u64, b: u64| (a - b) as f64 / passed;
+        // A drain while that goes on: when has it come to whom?
+        let fact = drain("m7", 99, Standing::Draining);
+        net.observe(0, fact.clone());
+        let (told, mut times) = (net.now, vec![0u64; 0]);
+        let mut heard = vec![false; count];
+        while times.len() < count && net.now - told < seconds(20) {
+            for (n, heard) in heard.iter_mut().enumerate() {
+                at += 1;
+                net.observe(n, member(&format!("m{}", chance.u32(0..109)), at, 0, 5));
+                if !*heard && net.drivers[n].engine.book.get(&fact.key()).is_some() {
+                    *heard = true;
+                    times.push((net.now - told).0 / 1000);
+                }
+            }
+            net.run(Span::millis(20));
+        }
+        let part = |q: usize| times[(times.len() * q / 100).min(times.len() - 1)];
+        let news = format!("{}, {}, {}", part(50), part(99), part(100));
+        // Half of them cut off from the others for 8 s; both sides hear something meanwhile.
+        for a in 0..count / 2 {
+            for b in count / 2..count {
+                net.cut.extend([(a, b), (b, a)]);
+            }
+        }
+        net.run(seconds(8));
+        net.observe(0, drain("m8", 100, Standing::Draining));
+        net.observe(count - 1, drain("m9", 100, Standing::Draining));
+        net.run(seconds(2));
+        net.cut.clear();
+        let heal = net.settle(seconds(60)).map(|s| s.ratio(seconds(1)));
+        println!(
+            "{count:>7}  {:>7.0}  {:>11.1}  {:>12.0}  {news:>35}  {heal:.1?}",
+            each(after.0, before.0),
+            each(after.1, before.1),
+            each(after.2, before.2)
+        );
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -124,16 +124,7 @@
             now,
             ..learned
         };
-        let f = &mut d.members;
-        for m in 0..f.id.len() {
-            let idle = f.connections[m].saturating_sub(f.open[m]);
-            f.connections[m] = if idle_came { idle } else { 0 };
-            // Only what changes is looked at anew: the two would else decide apart.
-            if std::mem::take(&mut f.open[m]) > 0 {
-                f.owes_since[m] = now;
-                d.touched.push(m);
-            }
-        }
+        d.touched = d.members.disown(idle_came, now);
         d
     }
 
@@ -148,39 +139,42 @@
         self.settle()
     }
 
-    /// So many executions of the other process are out at a member.
-    pub fn open_elsewhere(&mut self, now: Point, member: u32, count: usize) -> Results {
+    /// What another process of this driver, or another driver, tells of a member.
+    pub fn told(&mut self, now: Point, member: u32, word: Told) -> Results {
         self.hear(now);
-        if let Some(&m) = self.members.index.get(&member) {
-            self.members.elsewhere[m] = count;
-            self.changed.insert(self.members.group[m]);
+        let Some(&m) = self.members.index.get(&member) else {
+            return self.settle();
+        };
+        let f = &mut self.members;
+        match word {
+            Told::Open(count) => f.elsewhere[m] = count,
+            Told::Cold { work, until } => f.allowed[m] = Some((work, until)),
+            Told::Said(ago, s) => self.learn_sighting(m, ago, ago, s),
+            Told::Drains(started) if f.started[m] <= started && f.standing[m] == Standing::Ready => {
+                (f.standing[m], f.drained[m]) = (Standing::Draining, true);
+                self.groups[f.group[m]].depose(m);
+            }
+            Told::Drains(_) => {}
         }
+        self.changed.insert(self.members.group[m]);
+        self.touched.push(m);
         self.settle()
     }
 
-    /// The other process was told that a member drains or is gone, as one that started then.
-    pub fn drain_told(&mut self, now: Point, member: u32, started: Option<Point>) -> Results {
-        self.hear(now);
-        let f = &mut self.members;
-        let known = f.index.get(&member).copied();
-        if let Some(m) = known.filter(|m| f.started[*m] <= started && f.standing[*m] == Standing::Ready) {
-            (f.standing[m], f.drained[m]) = (Standing::Draining, true);
-            self.groups[f.group[m]].depose(m);
-            self.changed.insert(f.group[m]);
-            self.touched.push(m);
-        }
-        self.settle()
+    /// Members that are cold: how warm on the mean of the rule's span, and what this driver would carry.
+    pub fn cold_view(&self, now: Point) -> Vec<(u32, f64, f64)> {
+        let (f, then) = (&self.members, now - self.settings.fall_span * 0.5);
+        let warmth = |m: &usize| f.warmth(*m, then, &self.settings);
+        let cold = f
+            .index
+            .iter()
+            .filter(|(_, m)| f.warmth(**m, now, &self.settings) < 1.0);
+        cold.map(|(id, m)| (*id, warmth(m), self.carried(*m))).collect()
     }
 
-    /// What a member has told another driver of itself, so long ago: nothing of how this one fares with it.
-    pub fn sighting_told(&mut self, now: Point, member: u32, ago: Span, s: Sighting) -> Results {
-        self.hear(now);
-        if let Some(&m) = self.members.index.get(&member) {
-            self.learn_sighting(m, ago, ago, s);
-            self.changed.insert(self.members.group[m]);
-            self.touched.push(m);
-        }
-        self.settle()
+    /// What a statement of a workload takes.
+    pub fn work_of(&self, workload: usize) -> Span {
+        self.typical[workload]
     }
 
     /// Where a session's last write was committed that another driver carried.
@@ -762,24 +756,25 @@
     }
 
     fn warmth(&self, m: usize) -> f64 {
-        let cold = self.settings.cold_share;
-        let age = |at: Point| (self.now - at).ratio(self.settings.warm_within);
-        self.members.started[m].map_or(1.0, |at| (cold + (1.0 - cold) * age(at)).min(1.0))
+        self.members.warmth(m, self.now, &self.settings)
+    }
+
+    /// What a warm member of this one's size carries for this driver on the mean, in parts of a core.
+    fn carried(&self, m: usize) -> f64 {
+        let share = self.members.size[m] / self.warm_size.max(0.01);
+        let carried = self.borne.total.ratio(self.settings.fall_span) * share.min(1.0);
+        self.fleet.cold_carried(carried)
     }
 
-    /// Until when a cold member gets nothing: its last send is a debt, paid off by its present share of what
-    /// a warm one carries for this driver, or of its part of a core: so all drivers keep the budget together.
+    /// Until when a cold member gets nothing.
     fn cold_until(&self, m: usize) -> Point {
         let (f, warmth) = (&self.members, self.warmth(m));
         if warmth >= 1.0 {
             return Point(0);
         }
-        let share = f.size[m] / self.warm_size.max(0.01);
-        let carried = self.borne.total.ratio(self.settings.fall_span) * share.min(1.0);
-        let pays = self.fleet.cold_carried(carried) * warmth;
         let proves = !self.sparse() && f.pace[m] < GOOD_PACE;
         let used = self.fleet.cold_multiple(self.settings.fall_multiple, proves);
-        f.debt_at[m] + f.debt[m] * (1.0 / (pays * used))
+        f.cold_until(m, self.now, self.carried(m) * warmth * used)
     }
 
     fn longest_typical(&self) -> Span {
@@ -876,7 +871,7 @@
             f.connections[m] = f.open[m];
         }
         (f.used_at[m], f.debt_at[m]) = (self.now, self.now);
-        f.debt[m] = s.work.unwrap_or(self.typical[s.workload]);
+        f.owe(m, s.work.unwrap_or(self.typical[s.workload]));
         self.touched.push(m);
         let (member, until) = (f.id[m], s.answer_by);
         self.results.executions.push(Execution {
--- a/src/health.rs
+++ b/src/health.rs
@@ -1,6 +1,7 @@
 //! What a driver makes of a member's answers: how many executions at once it is known to bear, and the
-//! share of statements that it is let in. Nothing here chooses.
+//! share of statements that it is let in, what a cold one may be sent. Nothing here chooses.
 
+use crate::interface::Settings;
 use crate::state::Members;
 use crate::time::{Point, Span};
 
@@ -49,4 +50,49 @@
             self.let_in[n] = (self.let_in[n] * pull.exp()).clamp(LEAST_SHARE, most);
         }
     }
+
+    /// Between the least of a member that has just started and 1.
+    pub fn warmth(&self, m: usize, now: Point, settings: &Settings) -> f64 {
+        let cold = settings.cold_share;
+        let age = |at: Point| (now - at).ratio(settings.warm_within);
+        self.started[m].map_or(1.0, |at| (cold + (1.0 - cold) * age(at)).min(1.0))
+    }
+
+    /// Until when a cold member gets nothing: its last send is a debt, paid off at this rate, in parts of a core, which all
+    /// drivers together keep the budget by. Where it is known what all others send, what is allowed binds instead.
+    pub fn cold_until(&self, m: usize, now: Point, pays: f64) -> Point {
+        match self.allowed[m] {
+            Some((work, until)) if now < until => {
+                if work > Span(0) {
+                    Point(0)
+                } else {
+                    until
+                }
+            }
+            _ => self.debt_at[m] + self.debt[m] * (1.0 / pays),
+        }
+    }
+
+    /// So much work goes there now.
+    pub fn owe(&mut self, m: usize, work: Span) {
+        self.debt[m] = work;
+        if let Some((allowed, _)) = &mut self.allowed[m] {
+            *allowed = *allowed - work;
+        }
+    }
+
+    /// Lets go of what another process had out: what is idle stays only if it came along. Says whose standing that changes;
+    /// only those are looked at anew, or the two processes would decide apart.
+    pub fn disown(&mut self, idle_came: bool, now: Point) -> Vec<usize> {
+        let mut touched = Vec::new();
+        for m in 0..self.id.len() {
+            let idle = self.connections[m].saturating_sub(self.open[m]);
+            self.connections[m] = if idle_came { idle } else { 0 };
+            if std::mem::take(&mut self.open[m]) > 0 {
+                self.owes_since[m] = now;
+                touched.push(m);
+            }
+        }
+        touched
+    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -106,6 +106,19 @@
     pub doubted: Option<(Span, u32)>,
 }
 
+/// What is told of a member by another process or driver. How this one fares with it none of that says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Told {
+    /// So many executions of the other process are out there.
+    Open(usize),
+    /// It drains or is gone, as one that started then.
+    Drains(Option<Point>),
+    /// What it told another driver of itself, so long ago.
+    Said(Span, Sighting),
+    /// So much work this driver may send it while it is cold, until then: what all others send is known.
+    Cold { work: Span, until: Point },
+}
+
 /// How an execution ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
--- a/src/state.rs
+++ b/src/state.rs
@@ -293,6 +293,8 @@
     // Work last sent while cold, and when.
     debt: Span = Span(0);
     debt_at: Point = Point(0);
+    // Work that may be sent while cold, and until when that is known.
+    allowed: Option<(Span, Point)> = None;
 }
 
 /// Commit positions of sessions, and one that covers all those forgotten.
--- a/tests/beside.rs
+++ b/tests/beside.rs
@@ -10,14 +10,14 @@
 fn what_the_other_has_out_counts_against_the_bound() {
     for (elsewhere, goes) in [(0, true), (7, true), (8, false), (100, false)] {
         let mut b = bench(&settings(), 1);
-        b.driver.open_elsewhere(at(0), 1, elsewhere);
+        b.driver.told(at(0), 1, Told::Open(elsewhere));
         assert_eq!(!b.goes(1, WRITE).is_empty(), goes, "{elsewhere} elsewhere");
         // What waits goes out as soon as that has ended, or the other is gone.
         let mut again = bench(&settings(), 1);
-        again.driver.open_elsewhere(at(0), 1, elsewhere);
+        again.driver.told(at(0), 1, Told::Open(elsewhere));
         let (_, r) = again.take(1, WRITE);
         let went = sent_to(&r).len();
-        let less = again.driver.open_elsewhere(at(2), 1, 3);
+        let less = again.driver.told(at(2), 1, Told::Open(3));
         let alone = again.driver.beside(at(3), false);
         assert_eq!(
             went + sent_to(&less).len() + sent_to(&alone).len(),
@@ -25,7 +25,7 @@
             "{elsewhere} elsewhere"
         );
         // A member that isn't known here binds nothing.
-        assert!(again.driver.open_elsewhere(at(4), 99, 5).executions.is_empty());
+        assert!(again.driver.told(at(4), 99, Told::Open(5)).executions.is_empty());
     }
 }
 
@@ -34,12 +34,12 @@
 fn who_leaves_is_held_up_by_no_bound_of_the_others() {
     let mut b = bench(&settings(), 1);
     b.driver.beside(at(0), true);
-    b.driver.open_elsewhere(at(0), 1, 1000);
+    b.driver.told(at(0), 1, Told::Open(1000));
     assert_eq!(b.goes(1, WRITE), [1], "one");
     assert!(b.goes(2, WRITE).is_empty(), "but not two at once");
     let mut stays = bench(&settings(), 1);
     stays.driver.beside(at(0), false);
-    stays.driver.open_elsewhere(at(0), 1, 1000);
+    stays.driver.told(at(0), 1, Told::Open(1000));
     assert!(stays.goes(1, WRITE).is_empty(), "who stays waits");
 }
 
@@ -122,7 +122,7 @@
         );
         b.see(21, 1, 21, true);
         let before = b.goes(25_000, WRITE);
-        b.driver.drain_told(at(25_001), 1, there);
+        b.driver.told(at(25_001), 1, Told::Drains(there));
         let after = b.goes(25_002, WRITE);
         assert_eq!(before, [1], "{here:?} {there:?}");
         assert_eq!(after.is_empty(), binds, "{here:?} {there:?}");
@@ -131,5 +131,5 @@
         assert!(!binds || !r.probes.contains(&1), "{here:?} {there:?}");
     }
     let mut nobody = Driver::new(&settings(), 1, at(0));
-    assert!(nobody.drain_told(at(1), 7, None).executions.is_empty());
+    assert!(nobody.told(at(1), 7, Told::Drains(None)).executions.is_empty());
 }
--- a/tests/told.rs
+++ b/tests/told.rs
@@ -17,7 +17,7 @@
         position: position.map(at),
         is_primary: primary,
     };
-    b.driver.sighting_told(at(now), member, ms(ago), sighting)
+    b.driver.told(at(now), member, Told::Said(ms(ago), sighting))
 }
 
 /// (told of replica 2 at 10,000: how far it was, how long ago; where a read goes that may be 300 ms old)
@@ -147,3 +147,39 @@
         );
     }
 }
+
+/// What all have sent a cold member is known: then that binds, and neither its own last send nor caution does.
+#[test]
+fn a_share_of_a_cold_members_budget_binds_while_it_is_known() {
+    let settings = with(|s| s.gone_is_advice = false);
+    let cold = |allowed: Option<(u64, u64)>| {
+        let mut b = bench(&settings, 1);
+        b.told(0, started(1, at(0)));
+        if let Some((work, until)) = allowed {
+            let (work, until) = (ms(work), at(until));
+            b.driver.told(at(1), 1, Told::Cold { work, until });
+        }
+        // Statements of 100 ms; how many go out at once.
+        (0..20).map(|_| b.goes(2, WRITE).len()).sum::<usize>()
+    };
+    let alone = cold(None);
+    assert!(alone <= 1, "{alone}");
+    assert_eq!(
+        cold(Some((450, 200))),
+        5,
+        "what is allowed, and what it takes to pass it"
+    );
+    assert_eq!(cold(Some((0, 200))), 0);
+    assert_eq!(cold(Some((450, 2))), alone, "it isn't known any more");
+    // When it isn't, what went out before is still its debt.
+    let mut b = bench(&settings, 1);
+    b.told(0, started(1, at(0)));
+    let (work, until) = (ms(450), at(50));
+    b.driver.told(at(1), 1, Told::Cold { work, until });
+    assert_eq!(b.goes(2, WRITE), [1]);
+    assert!(b.goes(51, WRITE).is_empty());
+    let view = b.driver.cold_view(at(51));
+    assert_eq!(view.len(), 1);
+    assert!(view[0].1 < 0.3 && view[0].2 > 0.0, "{view:?}");
+    assert!(b.driver.cold_view(at(20_000)).is_empty(), "it is warm by then");
+}
