--- a/crates/driver/src/program/sharing.rs
+++ b/crates/driver/src/program/sharing.rs
@@ -483,6 +483,7 @@
         }
         let c = &self.engine.counts;
         json!({
+            "fleet": [{ "settings": self.engine.settings().fleet }],
             "drivers": rows,
             "counts": [{
                 "keeps": self.keeping.as_ref().map_or("nothing", |k| if k.keeper.is_failing() { "fails" } else { "well" }),
--- a/crates/driver/tests/fleet.rs
+++ b/crates/driver/tests/fleet.rs
@@ -58,6 +58,7 @@
     };
 }
 scenes! {
+    nothing_befalls_anybody: "calm",
     one_is_killed_and_comes_back: "killed",
     a_link_is_cut_one_way: "one-way",
     a_split_with_a_primary_change: "split",
--- /dev/null
+++ b/crates/driver/tests/versions.rs
@@ -0,0 +1,169 @@
+//! A process of this version beside a driver of the next one, whose datagrams have another version, items of a kind that
+//! isn't known here, and more behind what is: both understand each other as far as both go.
+
+mod stand;
+use asterlatch::time::{Point, Span};
+use asterlatch_shared::engine::{Engine, Input, Output, Settings};
+use asterlatch_shared::fact::{Fact, Standing};
+use asterlatch_shared::peers::{Presence, Times};
+use stand::*;
+use std::net::UdpSocket;
+use std::process::Command;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The same datagram as a driver of another version would send it.
+fn of_version(fleet: &str, bytes: &[u8], version: u8) -> Vec<u8> {
+    let mut rest = bytes[8..].to_vec();
+    rest[0] = version;
+    // An item of a kind that nobody here knows.
+    rest.extend([231, 0, 3, 1, 2, 3]);
+    let hash = xxh3_64_with_seed(&rest, xxh3_64_with_seed(fleet.as_bytes(), 0));
+    [&hash.to_be_bytes()[..], &rest].concat()
+}
+
+struct Beside {
+    engine: Engine,
+    socket: UdpSocket,
+    began: Instant,
+    version: u8,
+    fleet: String,
+}
+
+impl Beside {
+    fn now(&self) -> Point {
+        // A clock that stands in 1970.
+        Point(1_000_000 + self.began.elapsed().as_micros() as u64)
+    }
+
+    fn give(&mut self, input: Input) {
+        let now = self.now();
+        for output in self.engine.take(now, input) {
+            if let Output::Send { bytes, .. } = output {
+                let bytes = of_version(&self.fleet, &bytes, self.version);
+                let _ = self.socket.send(&bytes);
+            }
+        }
+    }
+
+    /// Goes on until that holds; whether it did in time.
+    fn until(&mut self, within: Duration, mut holds: impl FnMut(&Engine) -> bool) -> bool {
+        let end = Instant::now() + within;
+        let mut buffer = [0; 2048];
+        while Instant::now() < end {
+            if holds(&self.engine) {
+                return true;
+            }
+            match self.socket.recv(&mut buffer) {
+                Ok(length) => self.give(Input::Datagram {
+                    from: 0,
+                    bytes: &buffer[..length],
+                }),
+                Err(_) => self.give(Input::Time),
+            }
+        }
+        false
+    }
+}
+
+fn show(control: &str, what: &str) -> serde_json::Value {
+    let output = Command::new(env!("CARGO_BIN_EXE_asterlatch"))
+        .args(["fleet", what, "--json", "--control", control])
+        .output()
+        .expect("runs");
+    serde_json::from_slice(&output.stdout).expect("is JSON")
+}
+
+fn beside(name: &str, version: u8) -> (Folder, Operated, Member, Beside) {
+    let folder = Folder::new(&format!("versions-{name}"));
+    let member = member(Manner::Answers);
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("is bound");
+    let theirs = socket.local_addr().expect("is bound").port();
+    let port = UdpSocket::bind("127.0.0.1:0")
+        .and_then(|s| s.local_addr())
+        .expect("is free")
+        .port();
+    let text = format!(
+        "shared(port = {port}, tick = 20ms, probe = 100ms, suspicion = 500ms)\ndriver(\"later@127.0.0.1\", port = {theirs})\n"
+    );
+    let file = folder.write("o.latch", &text);
+    let control = folder.path("control");
+    let operated = operated(
+        &format!("versions-{name}"),
+        member.address,
+        &["--operators", &file, "--control", &control],
+    );
+    let host = operated.program.listen.ip();
+    socket.connect((host, port)).expect("has a way");
+    socket
+        .set_read_timeout(Some(Duration::from_millis(5)))
+        .expect("is set");
+    let fleet = show(&control, "status")["fleet"][0]["settings"]
+        .as_str()
+        .expect("is told")
+        .to_owned();
+    let settings = Settings {
+        fleet: fleet.clone(),
+        name: "later".to_owned(),
+        peers: vec!["t".to_owned()],
+        tick: Span::millis(20),
+        fanout: 3,
+        compare: Span::millis(200),
+        rate: 256 * 1024,
+        times: Times {
+            probe: Span::millis(100),
+            suspicion: Span::millis(500),
+        },
+        ask: Span::millis(100),
+    };
+    let beside = Beside {
+        engine: Engine::new(settings, 5, 1, Point(1_000_000)),
+        socket,
+        began: Instant::now(),
+        version,
+        fleet,
+    };
+    (folder, operated, member, beside)
+}
+
+#[test]
+fn a_later_version_is_understood_as_far_as_both_go() {
+    let (folder, operated, _member, mut later) = beside("next", 2);
+    let there = |e: &Engine| e.peers.all()[0].presence == Presence::There && !e.catchup.is_behind();
+    assert!(later.until(PATIENCE, there), "it finds this one");
+    operated.told("fleet: driver later is there, was unheard");
+    // What this one's member said of itself comes over.
+    let member = |e: &Engine| {
+        e.book
+            .all()
+            .any(|e| matches!(&e.fact, Fact::Member { name, .. } if name == "m"))
+    };
+    assert!(later.until(PATIENCE, member));
+    // And what the later one tells is known here.
+    let drain = Fact::Drain {
+        name: "m9".to_owned(),
+        started_ms: 0,
+        list: 3,
+        standing: Standing::Draining,
+    };
+    later.give(Input::Observed(vec![(drain, Span(0))]));
+    let control = folder.path("control");
+    let mut known = |_: &Engine| show(&control, "facts").to_string().contains("m9");
+    assert!(later.until(PATIENCE, &mut known));
+    let counts = &show(&control, "status")["counts"][0];
+    assert_eq!(
+        (&counts["unknown_version"], &counts["garbled"]),
+        (&0.into(), &0.into())
+    );
+}
+
+/// A version that is too old to be understood is counted, and whoever speaks it stays unheard.
+#[test]
+fn a_version_that_is_not_understood_is_passed_over() {
+    let (folder, _operated, _member, mut older) = beside("old", 0);
+    let control = folder.path("control");
+    let counted = |_: &Engine| show(&control, "status")["counts"][0]["unknown_version"].as_u64() > Some(3);
+    assert!(older.until(PATIENCE, counted));
+    let status = show(&control, "status");
+    assert_eq!(status["drivers"][1]["presence"], "unheard");
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -229,6 +229,18 @@
         Ok(None)
     }
 
+    /// Processor time of all that run now, in seconds, as the system counts it.
+    fn cpu(&self) -> f64 {
+        let of = |p: &Process| -> Option<f64> {
+            let stat = std::fs::read_to_string(format!("/proc/{}/stat", p.child.as_ref()?.id())).ok()?;
+            let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+            let ticks = |n: usize| fields.get(n)?.parse::<f64>().ok();
+            // User and system time, the 14th and 15th field, in hundredths.
+            Some((ticks(11)? + ticks(12)?) / 100.0)
+        };
+        self.processes.iter().filter_map(of).sum()
+    }
+
     fn signal(&self, number: u32, name: &str) {
         if let Some(child) = &self.processes[number as usize - 1].child {
             let _ = Command::new("kill")
@@ -331,6 +343,8 @@
     pub bytes: f64,
     /// Until all copies were equal, in seconds.
     pub equal: Option<f64>,
+    /// Processor time of all drivers that lived to the end, in seconds.
+    pub cpu: f64,
 }
 
 impl Outcome {
@@ -359,7 +373,10 @@
     let load = roam::start(&fleet.store, &fleet.listens(), arrivals, from, terms);
     fleet.play(from, &plan.script)?;
     let records = load.finish();
-    let mut outcome = Outcome::default();
+    let mut outcome = Outcome {
+        cpu: fleet.cpu(),
+        ..Outcome::default()
+    };
     if plan.shares {
         let passed = (unix() - from).ratio(Span::millis(1000));
         let mut bytes = 0.0;
@@ -479,6 +496,8 @@
             self.reads_at_primaries * 100.0,
             self.roamed_stale
         )?;
+        let each = self.cpu * 1e6 / self.asked.max(1) as f64;
+        writeln!(f, "drivers' processor time {each:.0} us a statement")?;
         if self.bytes > 0.0 {
             let equal = self
                 .equal
@@ -500,7 +519,8 @@
 }
 
 /// Scenes by name: what they are for, and what befalls whom. The fleet has five drivers.
-pub const SCENES: [(&str, &str); 10] = [
+pub const SCENES: [(&str, &str); 11] = [
+    ("calm", "0s link 1 to 2 slow 0ms for 1ms"),
     ("killed", "1s driver 2 is killed for 2s"),
     ("one-way", "500ms link 1 to 2 is cut for 4s"),
     (
