--- a/crates/shared/src/book.rs
+++ b/crates/shared/src/book.rs
@@ -9,7 +9,7 @@
 /// Copies are compared by so many parts of all keys.
 pub const RANGES: usize = 64;
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Entry {
     pub fact: Fact,
     /// By this driver's clock.
@@ -28,7 +28,7 @@
     Refused,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Book {
     entries: BTreeMap<Key, Entry>,
     /// By kind, and within by when it was told.
--- a/crates/shared/src/catchup.rs
+++ b/crates/shared/src/catchup.rs
@@ -18,36 +18,42 @@
 const MOST_OWED: usize = 16_384;
 
 /// A round that this driver began.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Round {
     number: u32,
     peer: usize,
     until: Point,
     /// The peer was caught up when it was chosen.
     with_caught_up: bool,
-    /// Ends that are still to be told: of the hashes, and of each wish.
-    ends: usize,
+    /// Parts of the hashes that came, and how many there are, once that is told.
+    parts: BTreeSet<(u8, u64)>,
+    all: Option<u32>,
+    /// Entries that were asked for: where they lie, and what of them was here by then.
+    wanted: BTreeMap<u32, (u8, u32)>,
 }
 
 /// What a peer is still to be sent.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Owed {
     round: u32,
-    /// Ranges of which it is to hear the hashes, and from where on.
+    /// Ranges of which it is to hear the hashes, from where on, and how many parts of that it has been sent.
     ranges: VecDeque<usize>,
     from: u64,
+    parts: u32,
     /// Hashes of keys whose entries it is to have, and the round of a wish that ends behind them.
     entries: VecDeque<Wish>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Wish {
     Entry(u64),
+    /// All hashes were sent, or all that a wish named.
+    Hashes(u32),
     End(u32),
 }
 
 /// Whether this driver's copy is whole, as far as it can know.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Standing {
     /// Since then; a round with each of the others ends it.
     Behind(Point),
@@ -63,7 +69,7 @@
     pub alone_since: Option<Point>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Catchup {
     pub standing: Standing,
     /// Nobody is waited for longer than this.
@@ -174,7 +180,9 @@
             peer,
             until: now + self.patience,
             with_caught_up: is_whole,
-            ends: 1,
+            parts: BTreeSet::new(),
+            all: None,
+            wanted: BTreeMap::new(),
         });
         Some(Item::Digest {
             round: self.numbers,
@@ -188,8 +196,9 @@
         let differ = (0..RANGES).filter(|r| ranges.get(*r) != own.get(*r));
         let owed = self.owed.entry(peer).or_default();
         // The former round's hashes are of no use any more; wishes are served still.
-        (owed.round, owed.ranges, owed.from) = (round, differ.collect(), 0);
-        owed.entries.push_back(Wish::End(round));
+        (owed.round, owed.ranges, owed.from, owed.parts) = (round, differ.collect(), 0, 0);
+        owed.entries.retain(|w| !matches!(w, Wish::Hashes(_)));
+        owed.entries.push_front(Wish::Hashes(round));
     }
 
     /// What a peer holds in a part of a range: this one asks for what it lacks, and owes what the other does.
@@ -219,13 +228,16 @@
         }
         let lacks = theirs.iter().filter(|(key, whole)| ours.get(key) != Some(whole));
         let lacks: Vec<u32> = lacks.map(|(key, _)| *key).collect();
+        let of = range(from) as u8;
+        own.parts.insert((of, from));
+        let had = |key: &u32| (*key, (of, ours.get(key).copied().unwrap_or(0)));
+        own.wanted.extend(lacks.iter().map(had));
         let wish = |keys: &[u32]| Item::Want {
             round,
-            range: range(from) as u8,
+            range: of,
             keys: keys.to_vec(),
         };
         let wishes: Vec<Item> = lacks.chunks(WISHES).map(wish).collect();
-        own.ends += wishes.len();
         let owed = self.owed.entry(peer).or_default();
         owed.entries.extend(owes);
         owed.entries.truncate(MOST_OWED);
@@ -243,15 +255,26 @@
         owed.entries.push_back(Wish::End(round));
     }
 
-    /// A peer has sent all of a part of this driver's round; whether that ends it.
-    pub fn done(&mut self, peer: usize, round: u32) -> bool {
+    /// A peer has sent all hashes of this driver's round, in so many parts, or all of a wish; whether that ends it. Of
+    /// datagrams that were sent before it some may be lost: it ends only where all parts have come, and all that was asked
+    /// for has changed here since.
+    pub fn done(&mut self, peer: usize, round: u32, parts: Option<u32>, book: &Book) -> bool {
         let own = self
             .round
             .as_mut()
             .filter(|r| r.number == round && r.peer == peer);
         let Some(own) = own else { return false };
-        own.ends = own.ends.saturating_sub(1);
-        if own.ends > 0 {
+        own.all = own.all.or(parts);
+        let heard = own.all == Some(own.parts.len() as u32);
+        let mut here: BTreeMap<(u8, u32), u32> = BTreeMap::new();
+        let ranges: BTreeSet<u8> = own.wanted.values().map(|(of, _)| *of).collect();
+        for of in ranges {
+            let entries = book.within(usize::from(of));
+            here.extend(entries.map(|e| ((of, short(e.hashes.0)), e.hashes.1 as u32)));
+        }
+        let came =
+            |(key, (of, had)): (&u32, &(u8, u32))| here.get(&(*of, *key)).is_some_and(|now| now != had);
+        if !heard || !own.wanted.iter().all(came) {
             return false;
         }
         self.with_whole |= own.with_caught_up;
@@ -275,7 +298,7 @@
     }
 
     /// The next part for each peer that is owed something, by turns, while `may` lets it.
-    pub fn pay(&mut self, now: Point, book: &Book, mut may: impl FnMut(usize, &[u8]) -> bool) {
+    pub fn pay(&mut self, now: Point, book: &Book, mut may: impl FnMut(usize, &Item) -> bool) {
         let mut peers: VecDeque<usize> = self.owed.keys().copied().collect();
         while let Some(peer) = peers.pop_front() {
             let Some(owed) = self.owed.get_mut(&peer) else {
@@ -285,7 +308,7 @@
                 self.owed.remove(&peer);
                 continue;
             };
-            if !may(peer, &item.0.bytes()) {
+            if !may(peer, &item.0) {
                 return;
             }
             item.1.apply(owed);
@@ -304,10 +327,10 @@
     fn apply(self, owed: &mut Owed) {
         match self {
             Step::Entry => drop(owed.entries.pop_front()),
-            Step::Range { next: Some(from) } => owed.from = from,
+            Step::Range { next: Some(from) } => (owed.from, owed.parts) = (from, owed.parts + 1),
             Step::Range { next: None } => {
                 owed.ranges.pop_front();
-                owed.from = 0;
+                (owed.from, owed.parts) = (0, owed.parts + 1);
             }
         }
     }
@@ -337,7 +360,11 @@
         }
         loop {
             match *self.entries.front()? {
-                Wish::End(round) => return Some((Item::Done { round }, Step::Entry)),
+                Wish::Hashes(round) => {
+                    let parts = Some(self.parts);
+                    return Some((Item::Done { round, parts }, Step::Entry));
+                }
+                Wish::End(round) => return Some((Item::Done { round, parts: None }, Step::Entry)),
                 Wish::Entry(hash) => match book.by_hash(hash) {
                     Some(entry) => {
                         let item = Item::Fact(entry.fact.clone(), Book::age_of(entry, now));
--- a/crates/shared/src/engine.rs
+++ b/crates/shared/src/engine.rs
@@ -309,8 +309,9 @@
                 }
             }
             Item::Want { round, range, keys } => self.catchup.wish(from, round, range, &keys, &self.book),
-            Item::Done { round } => {
-                self.counts.rounds += u64::from(self.catchup.done(from, round));
+            Item::Done { round, parts } => {
+                let ended = self.catchup.done(from, round, parts, &self.book);
+                self.counts.rounds += u64::from(ended);
             }
             Item::Ask(question) => {
                 let questions = &mut self.listening[from].questions;
@@ -497,11 +498,12 @@
         let mut left = self.rate.left() - waiting as f64;
         let (outbox, facts) = (&mut self.outbox, &mut self.counts.facts_told);
         self.catchup.pay(now, &self.book, |peer, item| {
+            let item = item.bytes();
             let fits = left >= item.len() as f64;
             if fits {
                 left -= item.len() as f64;
                 *facts += 1;
-                outbox.entry(peer).or_default().push(item.to_vec());
+                outbox.entry(peer).or_default().push(item);
             }
             fits
         });
--- a/crates/shared/src/quarrel.rs
+++ b/crates/shared/src/quarrel.rs
@@ -5,7 +5,7 @@
 use asterlatch::time::Point;
 use std::collections::VecDeque;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Kind {
     /// One version of the list calls a member two things.
     TwoLists,
@@ -31,7 +31,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Quarrel {
     pub kind: Kind,
     /// What it is about, and what both sides say.
@@ -44,7 +44,7 @@
 
 pub const MOST: usize = 256;
 
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Quarrels {
     all: VecDeque<Quarrel>,
 }
--- a/crates/shared/src/wire.rs
+++ b/crates/shared/src/wire.rs
@@ -59,9 +59,10 @@
         range: u8,
         keys: Vec<u32>,
     },
-    /// All that was asked for in this round was sent.
+    /// All hashes of this round were sent, in so many parts, or all that a wish asked for.
     Done {
         round: u32,
+        parts: Option<u32>,
     },
     Ask(Question),
     Answer(Question, crate::doubts::Known),
@@ -201,7 +202,7 @@
                 pairs,
             } => (KEYS, body(&(round, range, from, upto, pairs))),
             Item::Want { round, range, keys } => (WANT, body(&(round, range, keys))),
-            Item::Done { round } => (DONE, body(round)),
+            Item::Done { round, parts } => (DONE, body(&(round, parts))),
             Item::Ask(question) => (ASK, body(question)),
             Item::Answer(question, known) => (ANSWER, body(&(question, known))),
         };
@@ -232,7 +233,10 @@
                 let (round, range, keys) = read(bytes)?;
                 Item::Want { round, range, keys }
             }
-            DONE => Item::Done { round: read(bytes)? },
+            DONE => {
+                let (round, parts) = read(bytes)?;
+                Item::Done { round, parts }
+            }
             ASK => Item::Ask(read(bytes)?),
             ANSWER => {
                 let (question, known) = read(bytes)?;
--- /dev/null
+++ b/crates/shared/tests/catchup.rs
@@ -0,0 +1,247 @@
+//! A round of catching up in every order of steps, with any datagram lost or told twice and a fact learnt in between: who
+//! says that it has caught up holds all that the other held when the round began, and copies that hold the same are equal.
+
+mod common;
+use asterlatch::time::{Point, Span};
+use asterlatch_shared::book::Book;
+use asterlatch_shared::catchup::{Catchup, Seen, Standing};
+use asterlatch_shared::fact::{Fact, Standing as Listed};
+use asterlatch_shared::wire::Item;
+use common::{drain, session};
+use stateright::{Checker, Model, Property};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Mistake {
+    /// The word that all hashes were sent ends the round, whatever was lost before it.
+    TrustTheEnd,
+    /// What a range holds beyond its first part is taken for told.
+    FirstPartOnly,
+}
+
+const NOW: Point = Point(1_000_000_000);
+
+/// 0 catches up, 1 is whole.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    books: [Book; 2],
+    catchups: [Catchup; 2],
+    /// To whom, as bytes.
+    flying: Vec<(usize, Vec<u8>)>,
+    /// What 1 held when the round began.
+    then: Vec<Fact>,
+    lost: u8,
+    learnt: bool,
+    rounds: u8,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    Begin,
+    Pay(usize),
+    Arrives(usize),
+    IsLost(usize),
+    Learns,
+}
+
+struct Pair {
+    mistake: Option<Mistake>,
+}
+
+fn facts(book: &Book) -> Vec<Fact> {
+    book.all().map(|e| e.fact.clone()).collect()
+}
+
+fn holds(book: &Book, fact: &Fact) -> bool {
+    book.get(&fact.key())
+        .is_some_and(|e| e.fact.joined(fact) == e.fact)
+}
+
+fn read(bytes: &[u8]) -> Item {
+    let head = asterlatch_shared::wire::Head {
+        name: "d".into(),
+        life: 1,
+        sent: NOW,
+        knows_you: 1,
+        caught_up: true,
+    };
+    let all = asterlatch_shared::wire::datagram("f", &head, &[bytes.to_vec()]);
+    let (_, mut items) = asterlatch_shared::wire::read_datagram("f", &all).expect("is whole");
+    items.pop().expect("is one")
+}
+
+impl Pair {
+    fn arrives(&self, w: &mut World, to: usize, item: Item) {
+        let from = 1 - to;
+        match item {
+            Item::Fact(fact, age) => drop(w.books[to].learn(NOW, fact, NOW - age)),
+            Item::Digest { round, ranges } => w.catchups[to].compare(from, round, &ranges, &w.books[to]),
+            Item::Keys {
+                round,
+                from: low,
+                upto,
+                pairs,
+                ..
+            } => {
+                let wishes = w.catchups[to].keys(from, round, (low, upto), &pairs, &w.books[to]);
+                w.flying.extend(wishes.iter().map(|i| (from, i.bytes())));
+            }
+            Item::Want { round, range, keys } => {
+                w.catchups[to].wish(from, round, range, &keys, &w.books[to]);
+            }
+            Item::Done { round, parts } => {
+                let empty = Book::default();
+                match self.mistake {
+                    Some(Mistake::TrustTheEnd) => {
+                        // As if nothing had been asked for.
+                        let mut trusting = Catchup::new(NOW, Span::millis(1));
+                        trusting.begin(NOW, from, true, &empty);
+                        let ended = parts.is_some() && trusting.done(from, 1, Some(0), &empty);
+                        if ended && to == 0 {
+                            w.catchups[to] = trusting;
+                        }
+                    }
+                    Some(Mistake::FirstPartOnly) => {
+                        let first = parts.map(|p| p.min(1));
+                        w.catchups[to].done(from, round, first, &w.books[to]);
+                    }
+                    None => drop(w.catchups[to].done(from, round, parts, &w.books[to])),
+                }
+            }
+            _ => {}
+        }
+        if to == 0 {
+            let seen = Seen {
+                there: &[1],
+                caught_up: &[1],
+                alone_since: None,
+            };
+            w.catchups[0].judge(NOW, &seen);
+        }
+    }
+}
+
+impl Model for Pair {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        let mut books = [Book::default(), Book::default()];
+        // One that 0 lacks, and one that it holds in an older telling.
+        for fact in [drain("m1", 2, Listed::Draining), drain("m2", 4, Listed::Ready)] {
+            books[1].learn(NOW, fact, NOW);
+        }
+        books[0].learn(NOW, drain("m2", 3, Listed::Draining), NOW);
+        let catchup = Catchup::new(NOW, Span::millis(1000));
+        vec![World {
+            books,
+            catchups: [catchup.clone(), catchup],
+            flying: Vec::new(),
+            then: Vec::new(),
+            lost: 0,
+            learnt: false,
+            rounds: 0,
+        }]
+    }
+
+    fn actions(&self, w: &World, steps: &mut Vec<Step>) {
+        if w.rounds < 1 {
+            steps.push(Step::Begin);
+        }
+        steps.extend((0..2).filter(|n| w.catchups[*n].owes()).map(Step::Pay));
+        steps.extend((0..w.flying.len()).map(Step::Arrives));
+        if w.lost < 1 {
+            steps.extend((0..w.flying.len()).map(Step::IsLost));
+        }
+        if !w.learnt {
+            steps.push(Step::Learns);
+        }
+    }
+
+    fn next_state(&self, last: &World, step: Step) -> Option<World> {
+        let mut w = last.clone();
+        match step {
+            Step::Begin => {
+                w.rounds += 1;
+                w.then = facts(&w.books[1]);
+                let item = w.catchups[0].begin(NOW, 1, true, &w.books[0])?;
+                w.flying.push((1, item.bytes()));
+            }
+            Step::Pay(n) => {
+                let mut one = None;
+                w.catchups[n].pay(NOW, &w.books[n], |_, item| {
+                    let first = one.is_none();
+                    if first {
+                        one = Some(item.bytes());
+                    }
+                    first
+                });
+                w.flying.extend(one.map(|bytes| (1 - n, bytes)));
+            }
+            Step::Arrives(n) => {
+                let (to, bytes) = w.flying.remove(n);
+                self.arrives(&mut w, to, read(&bytes));
+            }
+            Step::IsLost(n) => {
+                w.lost += 1;
+                w.flying.remove(n);
+            }
+            Step::Learns => {
+                w.learnt = true;
+                w.books[1].learn(NOW, session(7, 70), NOW);
+            }
+        }
+        w.flying.sort();
+        Some(w)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always(
+                "who has caught up holds all that the other held when the round began",
+                |_, w: &World| {
+                    let whole = w.catchups[0].standing == Standing::CaughtUp;
+                    !whole || w.then.iter().all(|f| holds(&w.books[0], f))
+                },
+            ),
+            Property::always(
+                "equal copies have equal figures, unequal ones don't",
+                |_, w: &World| {
+                    let same = facts(&w.books[0]) == facts(&w.books[1]);
+                    same == (w.books[0].digests() == w.books[1].digests())
+                },
+            ),
+            Property::always("nothing that was held is lost", |_, w: &World| {
+                w.then.iter().all(|f| holds(&w.books[1], f))
+            }),
+            Property::sometimes("it catches up", |_, w: &World| {
+                w.catchups[0].standing == Standing::CaughtUp
+            }),
+            Property::sometimes("copies are equal", |_, w: &World| {
+                facts(&w.books[0]) == facts(&w.books[1])
+            }),
+        ]
+    }
+}
+
+#[test]
+fn no_order_of_steps_and_losses_has_one_say_that_it_is_whole_and_is_not() {
+    let checker = Pair { mistake: None }.checker().threads(4).spawn_bfs().join();
+    println!("{} states", checker.unique_state_count());
+    checker.assert_properties();
+    assert!(checker.unique_state_count() > 1000);
+}
+
+#[test]
+fn seeded_mistakes_are_found() {
+    for mistake in [Mistake::TrustTheEnd, Mistake::FirstPartOnly] {
+        let checker = Pair {
+            mistake: Some(mistake),
+        }
+        .checker()
+        .threads(4)
+        .spawn_bfs()
+        .join();
+        let property = "who has caught up holds all that the other held when the round began";
+        assert!(checker.discovery(property).is_some(), "{mistake:?} is not found");
+    }
+}
