--- a/crates/driver/src/transport/clock.rs
+++ b/crates/driver/src/transport/clock.rs
@@ -10,12 +10,23 @@
     unix: Duration,
 }
 
+/// How many seconds a laboratory has this process's clock stand ahead of the machine's, or behind where it is less than
+/// nothing: machines whose clocks are off can't be had otherwise on one machine.
+pub const VARIABLE: &str = "ASTERLATCH_LAB_CLOCK";
+
 impl Clock {
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let unix = unix.unwrap_or_default();
+        let ahead = std::env::var(VARIABLE).ok().and_then(|s| s.parse::<i64>().ok());
+        let by = Duration::from_secs(ahead.unwrap_or(0).unsigned_abs());
+        let unix = match ahead {
+            Some(s) if s < 0 => unix.saturating_sub(by),
+            _ => unix + by,
+        };
         Clock {
             anchor: Instant::now(),
-            unix: unix.unwrap_or_default(),
+            unix,
         }
     }
 
--- a/crates/driver/tests/fleet.rs
+++ b/crates/driver/tests/fleet.rs
@@ -66,6 +66,8 @@
     a_drain_told_on_one_side_of_a_split: "drain-in-a-split",
     ids_in_doubt_while_one_is_stopped_and_one_is_killed: "doubt",
     links_that_lose_garble_and_are_slow: "lossy",
+    clocks_that_are_an_hour_off_to_either_side: "clocks",
+    two_copies_of_one_disk: "one-disk",
     one_is_paused: "paused",
     members_that_are_cold: "cold",
     a_rolling_restart: "rolling",
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -105,7 +105,7 @@
             if plan.shares {
                 let port = own[number as usize - 1].port();
                 text += &format!(
-                    "shared(port = {port}, probe = 200ms, suspicion = 1s, compare = 500ms, ask = 100ms, window = 5s)\n"
+                    "shared(port = {port}, probe = 200ms, suspicion = 1s, compare = 500ms, ask = 100ms, window = 5s, keep = 200ms)\n"
                 );
                 for other in (1..=plan.drivers).filter(|o| *o != number) {
                     let port = found[&(number, other)].port();
@@ -137,6 +137,18 @@
         self.processes.iter().map(|p| p.listen).collect()
     }
 
+    /// How far a driver's clock is off.
+    fn clock(&self, number: u32) -> i64 {
+        let outages = lock(&self.store).script.outages();
+        let own = outages
+            .into_iter()
+            .filter_map(|(driver, outage, ..)| match outage {
+                Outage::Clock(by) if driver == number => Some(by),
+                _ => None,
+            });
+        own.sum()
+    }
+
     fn begin(&mut self, number: u32) -> io::Result<()> {
         let starts = self.processes[number as usize - 1].starts + 1;
         let log = File::create(self.path(number, &format!("{starts}.log")))?;
@@ -148,6 +160,9 @@
             .arg(self.path(number, "latch"))
             .arg("--control")
             .arg(self.path(number, "control"))
+            .arg("--state")
+            .arg(self.path(number, "state"))
+            .env("ASTERLATCH_LAB_CLOCK", self.clock(number).to_string())
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
@@ -254,7 +269,8 @@
     fn play(&mut self, from: Point, script: &Script) -> io::Result<()> {
         let mut steps: Vec<(Span, u32, Outage, bool)> = Vec::new();
         for (driver, outage, begins, ends) in script.outages() {
-            if outage != Outage::NoList && (driver as usize) <= self.processes.len() {
+            let befalls = matches!(outage, Outage::Killed | Outage::Stopped | Outage::OnTheDiskOf(_));
+            if befalls && (driver as usize) <= self.processes.len() {
                 steps.push((begins, driver, outage, true));
                 steps.push((ends, driver, outage, false));
             }
@@ -264,19 +280,25 @@
         for (at, driver, outage, begins) in steps {
             pause((from + at) - unix());
             match (outage, begins) {
-                (Outage::Killed, true) => {
+                (Outage::Killed | Outage::OnTheDiskOf(_), true) => {
                     self.signal(driver, "KILL");
                     if let Some(mut child) = self.processes[driver as usize - 1].child.take() {
                         child.wait()?;
                     }
                 }
+                (Outage::OnTheDiskOf(other), false) => {
+                    let of = |n| self.path(n, "state").join("shared.log");
+                    std::fs::copy(of(other), of(driver))?;
+                    self.begin(driver)?;
+                    self.await_up(driver)?;
+                }
                 (Outage::Killed, false) => {
                     self.begin(driver)?;
                     self.await_up(driver)?;
                 }
                 (Outage::Stopped, true) => self.signal(driver, "STOP"),
                 (Outage::Stopped, false) => self.signal(driver, "CONT"),
-                (Outage::NoList, _) => {}
+                (Outage::NoList | Outage::Clock(_), _) => {}
             }
             if begins {
                 open.insert(driver, from + at);
@@ -519,7 +541,7 @@
 }
 
 /// Scenes by name: what they are for, and what befalls whom. The fleet has five drivers.
-pub const SCENES: [(&str, &str); 11] = [
+pub const SCENES: [(&str, &str); 13] = [
     ("calm", "0s link 1 to 2 slow 0ms for 1ms"),
     ("killed", "1s driver 2 is killed for 2s"),
     ("one-way", "500ms link 1 to 2 is cut for 4s"),
@@ -534,6 +556,11 @@
     ),
     ("doubt", "1s driver 1 stops for 1s\n3s driver 2 is killed for 1s"),
     ("lossy", "0s links lose 30% for 5s\n0s links garble 5% for 5s\n0s links slow 20ms for 5s"),
+    (
+        "clocks",
+        "0s driver 1 is 3600s ahead for 1s\n0s driver 2 is 3600s behind for 1s\n1s driver 3 is killed for 500ms\n2s split 1 3 from 2 4 5 for 1s",
+    ),
+    ("one-disk", "1s driver 2 is killed and given the disk of 3 for 500ms\n2500ms driver 4 is killed for 500ms"),
     ("paused", "1s driver 4 stops for 3s"),
     ("cold", "500ms member 2 starts for 4s\n500ms member 3 starts for 4s\n2s driver 5 is killed for 1s"),
     (
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -79,6 +79,10 @@
     Stopped,
     /// Discovery tells it nothing new.
     NoList,
+    /// Its clock stands so many seconds ahead of the others', or behind, from its next start on.
+    Clock(i64),
+    /// SIGKILL, and begun anew on a copy of another driver's disk.
+    OnTheDiskOf(u32),
 }
 
 /// What a link does to datagrams.
@@ -194,10 +198,21 @@
         _ => return Ok(None),
     };
     let (outage, rest) = match rest {
+        ["is", "killed", "and", "given", "the", "disk", "of", other, rest @ ..] => {
+            (Outage::OnTheDiskOf(number(other)?), rest)
+        }
         ["is", "killed", rest @ ..] => (Outage::Killed, rest),
+        ["is", by, way @ ("ahead" | "behind"), rest @ ..] => {
+            let seconds = (span(by)?.0 / 1_000_000) as i64;
+            let sign = if *way == "ahead" { 1 } else { -1 };
+            (Outage::Clock(sign * seconds), rest)
+        }
         ["stops", rest @ ..] => (Outage::Stopped, rest),
         ["hears", "no", "list", rest @ ..] => (Outage::NoList, rest),
-        _ => return Err("names nothing that befalls a driver: is killed, stops, hears no list".to_owned()),
+        _ => return Err(
+            "names nothing that befalls a driver: is killed, stops, hears no list, is SPAN ahead or behind"
+                .to_owned(),
+        ),
     };
     let (from, until) = lasting(at, rest)?;
     Ok(Some(Event::Driver {
