--- a/crates/driver/src/program/serve.rs
+++ b/crates/driver/src/program/serve.rs
@@ -108,6 +108,9 @@
         Ok(Some(line))
     };
     let mut control = control.map(|path| move |line| upgrade::control(path, to_takeover, tell_asks, line));
+    if takeover.is_some() && shares.is_some() {
+        owner.mute();
+    }
     if takeover.is_none() {
         let line = begin_sharing(&mut owner)?;
         if let Some(control) = control.take() {
--- a/crates/driver/src/routing/owner/beside.rs
+++ b/crates/driver/src/routing/owner/beside.rs
@@ -30,7 +30,12 @@
 
     /// Another process begins to serve beside this one, or doesn't any more; it is the one that stays, or leaves.
     pub fn share(&mut self, now: Point, is_shared: bool, leaves: bool) {
-        (self.is_shared, self.drains) = (is_shared, Vec::new());
+        let was_shared = std::mem::replace(&mut self.is_shared, is_shared);
+        self.drains = Vec::new();
+        if let Some(sharing) = self.sharing.as_mut().filter(|_| was_shared) {
+            // What the other one sent is in no log here.
+            sharing.log.blank(now);
+        }
         self.clients.share(is_shared);
         let results = self.module.beside(now, is_shared && leaves);
         self.carry_out(now, results);
--- a/crates/driver/src/routing/owner/mod.rs
+++ b/crates/driver/src/routing/owner/mod.rs
@@ -173,6 +173,7 @@
     pub moved: Vec<Moved>,
     /// What is shared with other drivers, where anything is.
     sharing: Option<Sharing>,
+    is_mute: bool,
     /// By workload: to run one twice is no small matter, so others are asked before a marked repeat goes out.
     harmful: Vec<bool>,
     /// Positions of sessions' writes are kept here, for clients don't carry them.
@@ -234,6 +235,7 @@
             is_shared: false,
             drains: Vec::new(),
             sharing: None,
+            is_mute: false,
             harmful: settings
                 .workloads
                 .iter()
@@ -781,7 +783,7 @@
             let since_ms = e.started.map_or(0, |at| at.0 / 1000);
             self.drains.extend(name.map(|n| (n.to_owned(), since_ms)));
         }
-        self.shares_listed(now, roster.index, &entries);
+        self.shares_listed(roster.index, &entries);
         let left_out = roster.left_out + roster.entries.len() - entries.len();
         if left_out > 0 {
             self.figures.roster_entries_left_out += left_out as u64;
--- a/crates/driver/src/routing/owner/sharing.rs
+++ b/crates/driver/src/routing/owner/sharing.rs
@@ -16,7 +16,13 @@
 impl<O: Observer> Owner<O> {
     /// From now on others are told, and listened to.
     pub fn join(&mut self, sharing: Sharing) {
-        self.sharing = Some(sharing);
+        (self.sharing, self.is_mute) = (Some(sharing), false);
+    }
+
+    /// Others can't be asked yet, for another process of this driver still speaks with them: what they may have sent is in
+    /// doubt until then.
+    pub fn mute(&mut self) {
+        self.is_mute = true;
     }
 
     pub fn leave_the_others(&mut self) {
@@ -129,7 +135,7 @@
     }
 
     /// What the list says of a member.
-    pub(super) fn shares_listed(&mut self, now: Point, list: u64, entries: &[MemberEntry]) {
+    pub(super) fn shares_listed(&mut self, list: u64, entries: &[MemberEntry]) {
         let Some(sharing) = &mut self.sharing else { return };
         if sharing.list != list {
             sharing.list = list;
@@ -143,7 +149,7 @@
             };
             let started_ms = e.started.map_or(0, |at| at.0 / 1000);
             if let Some(name) = self.members.name(e.id) {
-                sharing.listed(now, name, started_ms, standing);
+                sharing.listed(name, started_ms, standing);
             }
         }
     }
@@ -157,10 +163,13 @@
         times_out: Point,
     ) -> Option<Statement> {
         let harmful = self.harmful[taken.workload];
+        let doubted = |doubted| Some(Statement { doubted, ..taken });
+        if self.sharing.is_none() && self.is_mute && harmful && repeat {
+            return doubted(Some((FOREVER, 0)));
+        }
         let Some(sharing) = self.sharing.as_mut().filter(|_| harmful) else {
             return Some(taken);
         };
-        let doubted = |doubted| Some(Statement { doubted, ..taken });
         if sharing.log.is_given(name) {
             // Another driver was told that it won't be sent from here.
             self.figures.statements_given_away += 1;
@@ -232,7 +241,11 @@
     /// A peer asks about a statement: whatever of it waits here is given away first.
     fn questioned(&mut self, now: Point, from: usize, question: Question) {
         let Some(sharing) = &mut self.sharing else { return };
-        let known = sharing.log.known(now, question.id);
+        // Of what the process beside this one sends nothing is known here.
+        let known = match self.is_shared {
+            true => Known::Unknown,
+            false => sharing.log.known(now, question.id),
+        };
         if known == Known::Untouched {
             sharing.log.give_away(now, question.id);
             sharing.inquiries.end(question.id);
--- a/crates/driver/src/routing/sharing.rs
+++ b/crates/driver/src/routing/sharing.rs
@@ -181,7 +181,7 @@
     }
 
     /// How the list calls a member. One that is ready is told of only where others may hold it for draining.
-    pub fn listed(&mut self, now: Point, name: &str, started_ms: u64, standing: Standing) {
+    pub fn listed(&mut self, name: &str, started_ms: u64, standing: Standing) {
         let was_drained = match standing {
             Standing::Ready => self.drained.remove(name),
             _ => {
@@ -200,7 +200,6 @@
         };
         // Drains wait for nothing.
         (self.tell)(Word::Observed(vec![(fact, Span(0))]));
-        let _ = now;
     }
 
     /// Tells what was seen, where it is time; `of` says how others call a member, its start and group.
--- a/crates/driver/tests/versions.rs
+++ b/crates/driver/tests/versions.rs
@@ -3,9 +3,11 @@
 
 mod stand;
 use asterlatch::time::{Point, Span};
+use asterlatch_shared::doubts::Known;
 use asterlatch_shared::engine::{Engine, Input, Output, Settings};
 use asterlatch_shared::fact::{Fact, Standing};
 use asterlatch_shared::peers::{Presence, Times};
+use asterlatch_shared::wire::Question;
 use stand::*;
 use std::net::UdpSocket;
 use std::process::Command;
@@ -23,6 +25,8 @@
 }
 
 struct Beside {
+    /// What was answered to its questions.
+    answers: Vec<Known>,
     engine: Engine,
     socket: UdpSocket,
     began: Instant,
@@ -39,9 +43,13 @@
     fn give(&mut self, input: Input) {
         let now = self.now();
         for output in self.engine.take(now, input) {
-            if let Output::Send { bytes, .. } = output {
-                let bytes = of_version(&self.fleet, &bytes, self.version);
-                let _ = self.socket.send(&bytes);
+            match output {
+                Output::Send { bytes, .. } => {
+                    let bytes = of_version(&self.fleet, &bytes, self.version);
+                    let _ = self.socket.send(&bytes);
+                }
+                Output::Answered { known, .. } => self.answers.push(known),
+                _ => {}
             }
         }
     }
@@ -74,7 +82,7 @@
     serde_json::from_slice(&output.stdout).expect("is JSON")
 }
 
-fn beside(name: &str, version: u8) -> (Folder, Operated, Member, Beside) {
+fn beside(name: &str, version: u8, more: &str) -> (Folder, Operated, Member, Beside) {
     let folder = Folder::new(&format!("versions-{name}"));
     let member = member(Manner::Answers);
     let socket = UdpSocket::bind("127.0.0.1:0").expect("is bound");
@@ -84,7 +92,7 @@
         .expect("is free")
         .port();
     let text = format!(
-        "shared(port = {port}, tick = 20ms, probe = 100ms, suspicion = 500ms)\ndriver(\"later@127.0.0.1\", port = {theirs})\n"
+        "shared(port = {port}, tick = 20ms, probe = 100ms, suspicion = 500ms{more})\ndriver(\"later@127.0.0.1\", port = {theirs})\n"
     );
     let file = folder.write("o.latch", &text);
     let control = folder.path("control");
@@ -117,6 +125,7 @@
         ask: Span::millis(100),
     };
     let beside = Beside {
+        answers: Vec::new(),
         engine: Engine::new(settings, 5, 1, Point(1_000_000)),
         socket,
         began: Instant::now(),
@@ -128,7 +137,7 @@
 
 #[test]
 fn a_later_version_is_understood_as_far_as_both_go() {
-    let (folder, operated, _member, mut later) = beside("next", 2);
+    let (folder, operated, _member, mut later) = beside("next", 2, "");
     let there = |e: &Engine| e.peers.all()[0].presence == Presence::There && !e.catchup.is_behind();
     assert!(later.until(PATIENCE, there), "it finds this one");
     operated.told("fleet: driver later is there, was unheard");
@@ -160,10 +169,87 @@
 /// A version that is too old to be understood is counted, and whoever speaks it stays unheard.
 #[test]
 fn a_version_that_is_not_understood_is_passed_over() {
-    let (folder, _operated, _member, mut older) = beside("old", 0);
+    let (folder, _operated, _member, mut older) = beside("old", 0, "");
     let control = folder.path("control");
     let counted = |_: &Engine| show(&control, "status")["counts"][0]["unknown_version"].as_u64() > Some(3);
     assert!(older.until(PATIENCE, counted));
     let status = show(&control, "status");
     assert_eq!(status["drivers"][1]["presence"], "unheard");
 }
+
+impl Beside {
+    /// What the process says of a statement.
+    fn asks(&mut self, id: u64) -> Known {
+        self.answers.clear();
+        self.give(Input::Ask(Question { id, turn: id as u32 }));
+        let end = Instant::now() + PATIENCE;
+        while self.answers.is_empty() && Instant::now() < end {
+            self.until(Duration::from_millis(10), |_| false);
+        }
+        self.answers.first().cloned().expect("is answered")
+    }
+}
+
+/// While two processes of one driver serve, neither knows what the other has sent: a question is answered so, and a repeat
+/// that comes to the new one is in doubt, for it can't ask.
+#[test]
+fn during_an_upgrade_nothing_is_called_untouched() {
+    let times = "\nupgrade(hello = 5s, ready = 5s, probation = 10min, beat = 50ms, silence = 2s";
+    let more = format!(", window = 1s){times}");
+    let (folder, operated, _member, mut other) = beside("upgrade", 1, &more);
+    let there = |e: &Engine| e.peers.all()[0].presence == Presence::There;
+    assert!(other.until(PATIENCE, there));
+    // Its former life may have sent anything within the window.
+    let mut id = 100;
+    while other.asks(id) == Known::Unknown {
+        id += 1;
+    }
+    assert_eq!(other.asks(1), Known::Untouched);
+    let control = folder.path("control");
+    let mut asking = Command::new(env!("CARGO_BIN_EXE_asterlatch"))
+        .args([
+            "upgrade",
+            "--control",
+            &control,
+            "--to",
+            env!("CARGO_BIN_EXE_asterlatch"),
+        ])
+        .spawn()
+        .expect("runs");
+    let begun = operated.told("upgrade: begun, to");
+    let pid: i32 = begun
+        .rsplit(' ')
+        .next()
+        .and_then(|n| n.parse().ok())
+        .expect("names it");
+    operated.told("the new process could serve and is told to");
+    assert_eq!(
+        other.asks(2),
+        Known::Unknown,
+        "the other process may have sent it"
+    );
+    let mut client = operated.program.client();
+    for (id, marked, answered) in [
+        ("a1", "", "T D C Z"),
+        ("a2", ",r=1", "E40003 Z"),
+        ("a3", "", "T D C Z"),
+    ] {
+        let text = format!("/* id={id},c=post,d=25000,cluster=1{marked} */ SELECT 1\0");
+        std::io::Write::write_all(&mut client, &message(b'Q', text.as_bytes())).expect("is written");
+        assert_eq!(answer(&mut client).0, answered, "{id}");
+    }
+    let new = rustix::process::Pid::from_raw(pid).expect("a process");
+    rustix::process::kill_process(new, rustix::process::Signal::KILL).expect("is killed");
+    operated.told("upgrade: failed, this process serves on");
+    let _ = asking.wait();
+    assert_eq!(other.asks(3), Known::Unknown, "the dead one may have sent it");
+    let mut id = 1000;
+    while other.asks(id) == Known::Unknown {
+        id += 1;
+    }
+    assert_eq!(
+        other.asks(4),
+        Known::Untouched,
+        "nothing of that can be repeated any more"
+    );
+}
--- a/crates/shared/src/doubts.rs
+++ b/crates/shared/src/doubts.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Another process of this driver was beside this one, and may have sent anything until now.
+    pub fn blank(&mut self, now: Point) {
+        self.blank_until = now + self.window;
+    }
+
     pub fn len(&self) -> usize {
         self.order.len()
     }
--- a/crates/shared/tests/doubts.rs
+++ b/crates/shared/tests/doubts.rs
@@ -63,18 +63,24 @@
         "its former life may have sent it"
     );
     assert_eq!(log.known(at(5000), 7), Known::Untouched);
+    log.blank(at(5000));
+    assert_eq!(
+        log.known(at(5500), 7),
+        Known::Unknown,
+        "another process was beside it"
+    );
     for id in 0..150 {
-        log.sends(at(6000 + id), id, "m");
+        log.sends(at(10_000 + id), id, "m");
     }
     assert_eq!(log.len(), 100);
     assert_eq!(
-        log.known(at(6200), 9999),
+        log.known(at(10_200), 9999),
         Known::Unknown,
         "it may be among those forgotten"
     );
-    assert_eq!(log.known(at(6200), 149), sent(51, "m"));
+    assert_eq!(log.known(at(10_200), 149), sent(51, "m"));
     assert_eq!(
-        log.known(at(6049 + 5000), 9999),
+        log.known(at(10_049 + 5000), 9999),
         Known::Untouched,
         "no repeat of those can come any more"
     );
