--- a/crates/takeover/src/new.rs
+++ b/crates/takeover/src/new.rs
@@ -32,7 +32,7 @@
     fn default() -> Times {
         Times {
             patience: Span::millis(20_000),
-            silence: Span::millis(2000),
+            silence: Span::millis(5000),
             beat: Span::millis(1000),
             probation: Span::millis(10_000),
         }
