--- a/crates/driver/src/routing/owner/mod.rs
+++ b/crates/driver/src/routing/owner/mod.rs
@@ -506,18 +506,17 @@
         let longest = own.map_or(self.limits.longest_timeout, |own| {
             own.min(self.limits.longest_timeout)
         });
+        let sessions = matches!(self.freshness[workload], Freshness::Session | Freshness::Write);
+        let key = marked.key.as_deref().filter(|_| sessions);
+        let session = key.map_or(0, session);
         let (id, times_out) = self.statements.hold(
             (client, number, end),
             text,
             &marked,
             (at, longest),
-            self.harmless[workload],
+            (workload, session, self.harmless[workload]),
         );
         self.clients.waits_for(client, id);
-        let sessions = matches!(self.freshness[workload], Freshness::Session | Freshness::Write);
-        let key = marked.key.as_deref().filter(|_| sessions);
-        let session = key.map_or(0, session);
-        self.statements.note(id, workload, session);
         let taken = Statement {
             id,
             workload,
--- a/crates/driver/src/routing/statements.rs
+++ b/crates/driver/src/routing/statements.rs
@@ -54,7 +54,7 @@
         text: Text,
         marked: &Marked,
         (at, longest): (Point, Span),
-        harmless: bool,
+        (workload, session, harmless): (usize, u64, bool),
     ) -> (u32, Point) {
         self.next = self.next.wrapping_add(1);
         let times_out = at + Span::millis(marked.left_ms).min(longest);
@@ -68,8 +68,8 @@
             left_at: marked.left_at.clone(),
             times_out,
             executions: 0,
-            workload: 0,
-            session: 0,
+            workload,
+            session,
         };
         self.names.insert(marked.id, self.next);
         self.held.insert(self.next, held);
@@ -81,13 +81,6 @@
         self.names.get(&name).copied()
     }
 
-    /// What is known of it beside its bytes.
-    pub fn note(&mut self, id: u32, workload: usize, session: u64) {
-        if let Some(held) = self.held.get_mut(&id) {
-            (held.workload, held.session) = (workload, session);
-        }
-    }
-
     /// Its name, workload and session.
     pub fn marks(&self, id: u32) -> Option<(u64, usize, u64)> {
         let held = self.held.get(&id)?;
--- a/crates/shared/src/engine.rs
+++ b/crates/shared/src/engine.rs
@@ -420,44 +420,45 @@
         self.pay(now);
     }
 
-    fn seen<T>(&self, with: impl FnOnce(&Seen) -> T) -> T {
+    /// Who is there, and of those who has caught up.
+    fn there(&self) -> (Vec<usize>, Vec<usize>) {
         let there: Vec<usize> = self.peers.there().collect();
-        let caught_up: Vec<usize> = there
-            .iter()
-            .copied()
-            .filter(|p| self.peers.all()[*p].caught_up)
-            .collect();
-        with(&Seen {
-            there: &there,
-            caught_up: &caught_up,
-            alone_since: self.alone_since,
-        })
+        let whole = there.iter().copied().filter(|p| self.peers.all()[*p].caught_up);
+        let whole = whole.collect();
+        (there, whole)
     }
 
     fn judge(&mut self, now: Point) {
-        let is_alone = self.peers.there().next().is_none();
+        let (there, caught_up) = self.there();
         let was_long_alone = self
             .alone_since
             .is_some_and(|at| now - at >= self.settings.times.suspicion);
-        if !is_alone && was_long_alone && !self.catchup.is_behind() {
+        if !there.is_empty() && was_long_alone && !self.catchup.is_behind() {
             // Others have gone on without this one.
             self.catchup.fall_behind(now);
             self.outputs.push(Output::CaughtUp(false));
         }
-        self.alone_since = is_alone.then(|| self.alone_since.unwrap_or(now));
-        let mut catchup = self.catchup.clone();
-        let changed = self.seen(|seen| catchup.judge(now, seen));
-        self.catchup = catchup;
-        if changed {
+        self.alone_since = there.is_empty().then(|| self.alone_since.unwrap_or(now));
+        let seen = Seen {
+            there: &there,
+            caught_up: &caught_up,
+            alone_since: self.alone_since,
+        };
+        if self.catchup.judge(now, &seen) {
             self.outputs.push(Output::CaughtUp(!self.catchup.is_behind()));
         }
     }
 
     fn compare(&mut self, now: Point) {
-        let mut chance = self.chance.clone();
-        let chosen = self.seen(|seen| self.catchup.choose(seen, &mut chance));
-        self.chance = chance;
-        let Some(peer) = chosen else { return };
+        let (there, caught_up) = self.there();
+        let seen = Seen {
+            there: &there,
+            caught_up: &caught_up,
+            alone_since: self.alone_since,
+        };
+        let Some(peer) = self.catchup.choose(&seen, &mut self.chance) else {
+            return;
+        };
         let is_whole = self.peers.all()[peer].caught_up;
         if let Some(item) = self.catchup.begin(now, peer, is_whole, &self.book) {
             self.post(peer, &item);
--- a/crates/shared/src/fact.rs
+++ b/crates/shared/src/fact.rs
@@ -13,7 +13,8 @@
     Gone,
 }
 
-/// Each with what may be done with it. Members and drivers go by name.
+/// Each with what may be done with it. Members and drivers go by name. Datagrams and kept copies tell them by their order
+/// here: a new kind, or a new figure of one, comes last.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Fact {
     /// What a member said of itself to some driver, in milliseconds of its log: how far it was, and where it last spoke as
--- a/crates/shared/src/wire.rs
+++ b/crates/shared/src/wire.rs
@@ -2,7 +2,7 @@
 //! doesn't know are passed over, so that two versions understand each other as far as both go. A hash over everything,
 //! begun with the fleet's name, tells garbled ones and those of another fleet.
 
-use crate::fact::{Fact, Kind};
+use crate::fact::{Fact, KINDS};
 use asterlatch::time::{Point, Span};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -94,105 +94,11 @@
     postcard::take_from_bytes(bytes).ok().map(|(value, _)| value)
 }
 
-/// A fact's figures without the name of its kind, which its number tells.
-fn fact_body(fact: &Fact, age: Span) -> Vec<u8> {
-    match fact {
-        Fact::Member {
-            name,
-            started_ms,
-            group,
-            position,
-            primary_at,
-            replica_at,
-        } => body(&(age, name, started_ms, group, position, primary_at, replica_at)),
-        Fact::Drain {
-            name,
-            started_ms,
-            list,
-            standing,
-        } => body(&(age, name, started_ms, list, standing)),
-        Fact::Cold {
-            member,
-            started_ms,
-            driver,
-            life,
-            said,
-            work_us,
-            carries_us,
-        } => body(&(age, member, started_ms, driver, life, said, work_us, carries_us)),
-        Fact::Session { session, position } => body(&(age, session, position)),
-        Fact::Driver {
-            name,
-            life,
-            said,
-            list,
-            file,
-            caught_up,
-        } => body(&(age, name, life, said, list, file, caught_up)),
-    }
-}
-
-fn read_fact(kind: Kind, bytes: &[u8]) -> Option<(Fact, Span)> {
-    Some(match kind {
-        Kind::Member => {
-            let (age, name, started_ms, group, position, primary_at, replica_at) = read(bytes)?;
-            let fact = Fact::Member {
-                name,
-                started_ms,
-                group,
-                position,
-                primary_at,
-                replica_at,
-            };
-            (fact, age)
-        }
-        Kind::Drain => {
-            let (age, name, started_ms, list, standing) = read(bytes)?;
-            let fact = Fact::Drain {
-                name,
-                started_ms,
-                list,
-                standing,
-            };
-            (fact, age)
-        }
-        Kind::Cold => {
-            let (age, member, started_ms, driver, life, said, work_us, carries_us) = read(bytes)?;
-            let fact = Fact::Cold {
-                member,
-                started_ms,
-                driver,
-                life,
-                said,
-                work_us,
-                carries_us,
-            };
-            (fact, age)
-        }
-        Kind::Session => {
-            let (age, session, position) = read(bytes)?;
-            (Fact::Session { session, position }, age)
-        }
-        Kind::Driver => {
-            let (age, name, life, said, list, file, caught_up) = read(bytes)?;
-            let fact = Fact::Driver {
-                name,
-                life,
-                said,
-                list,
-                file,
-                caught_up,
-            };
-            (fact, age)
-        }
-    })
-}
-
 impl Item {
     pub fn bytes(&self) -> Vec<u8> {
         let (kind, body) = match self {
             Item::Presence(data) => (PRESENCE, data.clone()),
-            Item::Fact(fact, age) => (fact.kind().number(), fact_body(fact, *age)),
+            Item::Fact(fact, age) => (fact.kind().number(), body(&(age, fact))),
             Item::Digest { round, ranges } => (DIGEST, body(&(round, ranges))),
             Item::Keys {
                 round,
@@ -212,7 +118,6 @@
 
     /// None where the kind isn't known or the body makes no sense: whatever is lost is told again.
     fn read(kind: u8, bytes: &[u8]) -> Option<Item> {
-        let fact = crate::fact::KINDS.into_iter().find(|k| k.number() == kind);
         Some(match kind {
             PRESENCE => Item::Presence(bytes.to_vec()),
             DIGEST => {
@@ -243,8 +148,10 @@
                 Item::Answer(question, known)
             }
             _ => {
-                let (fact, age) = read_fact(fact?, bytes)?;
-                Item::Fact(fact, age)
+                KINDS.into_iter().find(|k| k.number() == kind)?;
+                // The fact comes last: what a later version adds to it lies behind what is read.
+                let (age, fact): (Span, Fact) = read(bytes)?;
+                (fact.kind().number() == kind).then_some(Item::Fact(fact, age))?
             }
         })
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -742,7 +742,8 @@
     fn has_room(&self, m: usize) -> bool {
         let f = &self.members;
         let spared = self.setup > DEAR && !self.connected(m) && f.connections[m] > 0 && self.sparse();
-        let (cold, kept) = (self.cold_until(m), self.yields && self.cold_until(m) > Point(0));
+        let cold = self.cold_until(m);
+        let kept = self.yields && cold > Point(0);
         // Who leaves has no newcomers: the one beside it, always full, would else hold what is left here up.
         let last = self.yields && f.open[m] == 0;
         let out = f.open[m] + if last { 0 } else { f.elsewhere[m] };
