--- a/crates/driver/src/transport/mod.rs
+++ b/crates/driver/src/transport/mod.rs
@@ -31,6 +31,9 @@
             .set_stack_size(stacks.bytes / size_of::<usize>())
             .set_pool_capacity(stacks.spare)
             .set_worker_pin(false);
+        // The event loop is made with the first of them: at once, for a process that takes over gets descriptors of others
+        // from its commit on, and one that can't have a loop any more ends by a panic.
+        drop(may::go!(|| ()));
     });
 }
 
