Builds of two versions of the wire side by side, as a scene; what the owner says is the engine's input

A laboratory's process may now speak as a later build would (higher version, more behind head and items, an item of an unknown kind): scene two-wires renews three of five drivers and takes one back. The owner's words repeated the engine's inputs one by one; they are the same type now, and the engine tells of its driver by itself whenever list, life or standing change.

--- a/crates/driver/src/program/sharing.rs
+++ b/crates/driver/src/program/sharing.rs
@@ -16,6 +16,7 @@
 use asterlatch_shared::fact::Fact;
 use asterlatch_shared::keep::{self, Keeper, Told, Wish};
 use asterlatch_shared::peers::Times;
+use asterlatch_shared::wire::Dialect;
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -33,8 +34,6 @@
     terms: Terms,
     /// Between two writings; zero keeps nothing.
     keep: Span,
-    /// Of the operators' file.
-    file: u64,
 }
 
 impl Shares {
@@ -57,6 +56,8 @@
                 suspicion: span("suspicion"),
             },
             ask: span("ask"),
+            file: u64::from_str_radix(canonical.get(..16).unwrap_or_default(), 16).unwrap_or(0),
+            dialect: Dialect::Own,
         };
         let terms = Terms {
             tick: span("tick"),
@@ -73,7 +74,6 @@
             settings,
             terms,
             keep: span("keep"),
-            file: u64::from_str_radix(canonical.get(..16).unwrap_or_default(), 16).unwrap_or(0),
         })
     }
 }
@@ -136,6 +136,9 @@
     }
 }
 
+/// Where it is set, a laboratory has this process speak to other drivers as a later build may.
+pub const LATER_WIRE: &str = "ASTERLATCH_LAB_LATER_WIRE";
+
 /// Begins to share. What can't be bound is an error, for operators asked for it.
 pub fn start(
     shares: &Shares,
@@ -152,6 +155,10 @@
         // Drivers of other deployments, or with other settings, have nothing to tell this one.
         fleet: format!("{:016x}", config.settings_text),
         name: config.name.clone(),
+        dialect: match std::env::var_os(LATER_WIRE) {
+            Some(_) => Dialect::Later,
+            None => Dialect::Own,
+        },
         ..shares.settings.clone()
     };
     let now = clock.now();
@@ -198,8 +205,6 @@
         inbox,
         queue,
         clock,
-        file: shares.file,
-        list: 0,
         foreign: 0,
         failed: 0,
     };
@@ -332,8 +337,6 @@
     inbox: Receiver<ToEngine>,
     queue: Sender<OwnersInput>,
     clock: Clock,
-    file: u64,
-    list: u64,
     /// Datagrams from nobody who may speak here, and such that couldn't be sent.
     foreign: u64,
     failed: u64,
@@ -344,7 +347,6 @@
 
 impl Running {
     fn run(mut self) {
-        self.describe();
         loop {
             let now = self.clock.now();
             if let Some(keeping) = &mut self.keeping {
@@ -388,48 +390,29 @@
         }
     }
 
-    fn describe(&mut self) {
-        let outputs = self.engine.describe(self.clock.now(), self.list, self.file);
-        self.carry_out(outputs);
-    }
-
     fn word(&mut self, word: ToEngine) -> Vec<Output> {
         let now = self.clock.now();
-        let input = match word {
+        match word {
             ToEngine::Show(show) => {
                 self.show(now, show);
-                return Vec::new();
-            }
-            ToEngine::Word(Word::Observed(facts)) => Input::Observed(facts),
-            ToEngine::Word(Word::Ask(question)) => Input::Ask(question),
-            ToEngine::Word(Word::Asked(question)) => Input::Asked(question),
-            ToEngine::Word(Word::Answer { to, question, known }) => Input::Answer { to, question, known },
-            ToEngine::Word(Word::List(list)) => {
-                self.list = list;
-                return self.engine.describe(now, list, self.file);
+                Vec::new()
             }
-            ToEngine::Word(Word::Leave) => Input::Leave,
-        };
-        self.engine.take(now, input)
+            ToEngine::Word(word) => self.engine.take(now, word),
+        }
     }
 
     /// Whether the owner is still there.
     fn carry_out(&mut self, outputs: Vec<Output>) -> bool {
-        let mut described = false;
         for output in outputs {
             match output {
                 Output::Send { to, bytes } => self.failed += u64::from(!self.datagrams.send(to, &bytes)),
                 news => {
-                    described |= matches!(news, Output::CaughtUp(_));
                     if self.queue.send(OwnersInput::Peers(News::Heard(news))).is_err() {
                         return false;
                     }
                 }
             }
         }
-        if described {
-            self.describe();
-        }
         true
     }
 
--- a/crates/driver/src/routing/sharing.rs
+++ b/crates/driver/src/routing/sharing.rs
@@ -5,27 +5,12 @@
 use asterlatch::time::{Point, Span};
 use asterlatch_shared::cold::{self, Cold};
 use asterlatch_shared::doubts::{Inquiries, Log};
-use asterlatch_shared::engine::Output;
+use asterlatch_shared::engine::{Input, Output};
 use asterlatch_shared::fact::{Fact, Standing};
-use asterlatch_shared::wire::Question;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// To the engine.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Word {
-    Observed(Vec<(Fact, Span)>),
-    Ask(Question),
-    /// The answer isn't needed any more.
-    Asked(Question),
-    Answer {
-        to: usize,
-        question: Question,
-        known: asterlatch_shared::doubts::Known,
-    },
-    /// The list of members that is in force.
-    List(u64),
-    Leave,
-}
+/// To the engine: what it takes, as far as the owner says it.
+pub type Word = Input<'static>;
 
 /// From the engine.
 pub enum News {
--- a/crates/driver/tests/fleet.rs
+++ b/crates/driver/tests/fleet.rs
@@ -70,6 +70,7 @@
     one_is_paused: "paused",
     members_that_are_cold: "cold",
     a_rolling_restart: "rolling",
+    builds_of_two_versions_of_the_wire: "two-wires",
 }
 
 /// The same without word between them: or the scenes above would prove nothing.
--- a/crates/driver/tests/versions.rs
+++ b/crates/driver/tests/versions.rs
@@ -123,6 +123,8 @@
             suspicion: Span::millis(500),
         },
         ask: Span::millis(100),
+        file: 0,
+        dialect: Default::default(),
     };
     let beside = Beside {
         answers: Vec::new(),
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -47,6 +47,7 @@
     listen: SocketAddr,
     child: Option<Child>,
     starts: u32,
+    is_later: bool,
 }
 
 pub struct Fleet {
@@ -128,6 +129,7 @@
                 listen,
                 child: None,
                 starts: 0,
+                is_later: false,
             });
         }
         for number in 1..=plan.drivers {
@@ -171,6 +173,9 @@
                 rustix::process::set_parent_process_death_signal(with_us).map_err(io::Error::from)
             });
         }
+        if self.processes[number as usize - 1].is_later {
+            command.env("ASTERLATCH_LAB_LATER_WIRE", "1");
+        }
         let child = command
             .arg("serve")
             .arg("--config")
@@ -288,7 +293,7 @@
     fn play(&mut self, from: Point, script: &Script) -> io::Result<()> {
         let mut steps: Vec<(Span, u32, Outage, bool)> = Vec::new();
         for (driver, outage, begins, ends) in script.outages() {
-            let befalls = matches!(outage, Outage::Killed | Outage::Stopped | Outage::OnTheDiskOf(_));
+            let befalls = !matches!(outage, Outage::NoList | Outage::Clock(_));
             if befalls && (driver as usize) <= self.processes.len() {
                 steps.push((begins, driver, outage, true));
                 steps.push((ends, driver, outage, false));
@@ -299,7 +304,7 @@
         for (at, driver, outage, begins) in steps {
             pause((from + at) - unix());
             match (outage, begins) {
-                (Outage::Killed | Outage::OnTheDiskOf(_), true) => {
+                (Outage::Killed | Outage::OnTheDiskOf(_) | Outage::Renewed, true) => {
                     self.signal(driver, "KILL");
                     if let Some(mut child) = self.processes[driver as usize - 1].child.take() {
                         child.wait()?;
@@ -311,7 +316,9 @@
                     self.begin(driver)?;
                     self.await_up(driver)?;
                 }
-                (Outage::Killed, false) => {
+                (Outage::Killed | Outage::Renewed, false) => {
+                    // Killed behind that it is the former build again.
+                    self.processes[driver as usize - 1].is_later = outage == Outage::Renewed;
                     self.begin(driver)?;
                     self.await_up(driver)?;
                 }
@@ -561,7 +568,7 @@
 }
 
 /// Scenes by name: what they are for, and what befalls whom. The fleet has five drivers.
-pub const SCENES: [(&str, &str); 13] = [
+pub const SCENES: [(&str, &str); 14] = [
     ("calm", "0s link 1 to 2 slow 0ms for 1ms"),
     ("killed", "1s driver 2 is killed for 2s"),
     ("one-way", "500ms link 1 to 2 is cut for 4s"),
@@ -587,4 +594,8 @@
         "rolling",
         "500ms driver 1 is killed for 200ms\n1500ms driver 2 is killed for 200ms\n2500ms driver 3 is killed for 200ms",
     ),
+    (
+        "two-wires",
+        "300ms driver 1 is renewed for 200ms\n1s driver 2 is renewed for 200ms\n1700ms driver 3 is renewed for 200ms\n2500ms driver 1 is killed for 200ms",
+    ),
 ];
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -83,6 +83,8 @@
     Clock(i64),
     /// SIGKILL, and begun anew on a copy of another driver's disk.
     OnTheDiskOf(u32),
+    /// SIGKILL, and begun anew as a later build, which speaks to others in a later version of the wire.
+    Renewed,
 }
 
 /// What a link does to datagrams.
@@ -201,6 +203,7 @@
         ["is", "killed", "and", "given", "the", "disk", "of", other, rest @ ..] => {
             (Outage::OnTheDiskOf(number(other)?), rest)
         }
+        ["is", "renewed", rest @ ..] => (Outage::Renewed, rest),
         ["is", "killed", rest @ ..] => (Outage::Killed, rest),
         ["is", by, way @ ("ahead" | "behind"), rest @ ..] => {
             let seconds = (span(by)?.0 / 1_000_000) as i64;
@@ -210,7 +213,7 @@
         ["stops", rest @ ..] => (Outage::Stopped, rest),
         ["hears", "no", "list", rest @ ..] => (Outage::NoList, rest),
         _ => return Err(
-            "names nothing that befalls a driver: is killed, stops, hears no list, is SPAN ahead or behind"
+            "names nothing that befalls a driver: is killed, is renewed, stops, hears no list, is SPAN ahead or behind"
                 .to_owned(),
         ),
     };
--- a/crates/shared/src/engine.rs
+++ b/crates/shared/src/engine.rs
@@ -29,9 +29,13 @@
     pub times: Times,
     /// How long a question is repeated to who hasn't answered.
     pub ask: Span,
+    /// Mark of the operators' file in force.
+    pub file: u64,
+    /// What its datagrams are written as.
+    pub dialect: wire::Dialect,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Input<'a> {
     /// From the address of this peer.
     Datagram {
@@ -50,6 +54,8 @@
         question: Question,
         known: Known,
     },
+    /// The list of members that is in force.
+    List(u64),
     /// This process is to leave: others needn't find out.
     Leave,
     Time,
@@ -135,7 +141,10 @@
     compare_at: Point,
     alone_since: Option<Point>,
     last: Point,
+    list: u64,
+    /// How often this driver has told of itself, and what: its life, its list, and whether its copy is whole.
     said: u64,
+    described: Option<(u64, u64, bool)>,
     /// Items for each peer that leave at the end of the input.
     outbox: BTreeMap<usize, Vec<Vec<u8>>>,
     outputs: Vec<Output>,
@@ -172,7 +181,9 @@
             compare_at: now,
             alone_since: Some(now),
             last: now,
+            list: 0,
             said: 0,
+            described: None,
             outbox: BTreeMap::new(),
             outputs: Vec::new(),
             has_left: false,
@@ -206,6 +217,7 @@
             Input::Answer { to, question, known } => {
                 self.post(to, &Item::Answer(question, known));
             }
+            Input::List(list) => self.list = list,
             Input::Leave => {
                 self.has_left = true;
                 let sent = self.peers.leave(now);
@@ -215,6 +227,7 @@
         }
         if !self.has_left {
             self.reach(now);
+            self.describe(now);
         }
         self.flush(now);
         std::mem::take(&mut self.outputs)
@@ -530,7 +543,7 @@
                 knows_you: self.peers.all()[to].life,
                 caught_up: !self.catchup.is_behind(),
             };
-            let room = wire::room(&head);
+            let room = self.settings.dialect.room(&head);
             let mut from = 0;
             while from < items.len() {
                 let mut length = 0;
@@ -539,7 +552,10 @@
                     length <= room
                 });
                 let count = fitting.count().max(1);
-                let bytes = wire::datagram(&self.settings.fleet, &head, &items[from..from + count]);
+                let bytes =
+                    self.settings
+                        .dialect
+                        .datagram(&self.settings.fleet, &head, &items[from..from + count]);
                 from += count;
                 self.rate.spend(bytes.len());
                 self.counts.datagrams_sent += 1;
@@ -569,17 +585,22 @@
     }
 
     /// What this driver says of itself, whenever that changes.
-    pub fn describe(&mut self, now: Point, list: u64, file: u64) -> Vec<Output> {
+    fn describe(&mut self, now: Point) {
+        let is_whole = !self.catchup.is_behind();
+        let all = (self.peers.own().life, self.list, is_whole);
+        if self.described.replace(all) == Some(all) {
+            return;
+        }
         self.said += 1;
         let fact = Fact::Driver {
             name: self.settings.name.clone(),
-            life: self.peers.own().life,
+            life: all.0,
             said: self.said,
-            list,
-            file,
-            caught_up: !self.catchup.is_behind(),
+            list: all.1,
+            file: self.settings.file,
+            caught_up: is_whole,
         };
-        self.take(now, Input::Observed(vec![(fact, Span(0))]))
+        self.learn(now, fact, now, true);
     }
 }
 
--- a/crates/shared/src/wire.rs
+++ b/crates/shared/src/wire.rs
@@ -161,21 +161,60 @@
     xxh3_64_with_seed(bytes, xxh3_64_with_seed(fleet.as_bytes(), 0))
 }
 
-/// How many bytes a head takes, about: what is left is for items.
-pub fn room(head: &Head) -> usize {
-    LONGEST - 9 - 2 - body(head).len()
+/// What a driver's datagrams are written as.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Dialect {
+    /// This version.
+    #[default]
+    Own,
+    /// As a later version may: a higher number, more behind the head and behind each item, and an item of a kind that
+    /// nobody knows. For the laboratory, whose fleets are of two versions then.
+    Later,
 }
 
-/// Items that together are no longer than `room`.
-pub fn datagram(fleet: &str, head: &Head, items: &[Vec<u8>]) -> Vec<u8> {
-    let head = body(head);
-    let mut rest = vec![VERSION];
-    rest.extend((head.len() as u16).to_be_bytes());
-    rest.extend(head);
-    items.iter().for_each(|item| rest.extend(item));
-    let mut all = hash(fleet, &rest).to_be_bytes().to_vec();
-    all.extend(rest);
-    all
+/// What a later version says more, wherever it may.
+const MORE: &[u8] = b"more";
+const UNKNOWN: u8 = 250;
+
+impl Dialect {
+    /// How many bytes are left for items, about.
+    pub fn room(self, head: &Head) -> usize {
+        // The library's own messages have nothing behind them, and fill a datagram at most by two thirds.
+        let more = if self == Dialect::Later { 200 } else { 0 };
+        LONGEST - 9 - 2 - body(head).len() - more
+    }
+
+    /// Items that together are no longer than `room`.
+    pub fn datagram(self, fleet: &str, head: &Head, items: &[Vec<u8>]) -> Vec<u8> {
+        let mut head = body(head);
+        let is_later = self == Dialect::Later;
+        if is_later {
+            head.extend(MORE);
+        }
+        let mut rest = vec![VERSION + u8::from(is_later)];
+        rest.extend((head.len() as u16).to_be_bytes());
+        rest.extend(head);
+        let mut room = 200;
+        for item in items {
+            if is_later && item[0] != PRESENCE && room > 20 {
+                room -= MORE.len();
+                let length = u16::from_be_bytes([item[1], item[2]]) + MORE.len() as u16;
+                rest.push(item[0]);
+                rest.extend(length.to_be_bytes());
+                rest.extend(&item[3..]);
+                rest.extend(MORE);
+            } else {
+                rest.extend(item);
+            }
+        }
+        if is_later {
+            rest.extend([UNKNOWN, 0, MORE.len() as u8]);
+            rest.extend(MORE);
+        }
+        let mut all = hash(fleet, &rest).to_be_bytes().to_vec();
+        all.extend(rest);
+        all
+    }
 }
 
 /// What came, as far as it is understood.
--- a/crates/shared/tests/catchup.rs
+++ b/crates/shared/tests/catchup.rs
@@ -64,7 +64,7 @@
         knows_you: 1,
         caught_up: true,
     };
-    let all = asterlatch_shared::wire::datagram("f", &head, &[bytes.to_vec()]);
+    let all = asterlatch_shared::wire::Dialect::Own.datagram("f", &head, &[bytes.to_vec()]);
     let (_, mut items) = asterlatch_shared::wire::read_datagram("f", &all).expect("is whole");
     items.pop().expect("is one")
 }
--- a/crates/shared/tests/common/mod.rs
+++ b/crates/shared/tests/common/mod.rs
@@ -47,6 +47,8 @@
         rate: 64 * 1024,
         times: Times::default(),
         ask: Span::millis(100),
+        file: 0,
+        dialect: asterlatch_shared::wire::Dialect::Own,
     }
 }
 
--- a/crates/shared/tests/fleet.rs
+++ b/crates/shared/tests/fleet.rs
@@ -201,7 +201,7 @@
         caught_up: true,
     };
     let fact = wire::Item::Fact(drain("m9", 9, Standing::Gone), Span(0)).bytes();
-    let bytes = wire::datagram("test", &head, &[fact]);
+    let bytes = wire::Dialect::Own.datagram("test", &head, &[fact]);
     // From the address of d1.
     net.give(
         0,
@@ -220,7 +220,7 @@
         .any(|o| matches!(o, Output::CutOff { peer: 0, .. })));
     // Another fleet's are nothing at all, and so is what is garbled.
     let before = net.drivers[0].engine.counts.garbled;
-    let other = wire::datagram("elsewhere", &head, &[]);
+    let other = wire::Dialect::Own.datagram("elsewhere", &head, &[]);
     for bytes in [&other[..], &bytes[..bytes.len() - 1], &[], &[1, 2, 3]] {
         net.give(0, Input::Datagram { from: 0, bytes });
     }
@@ -241,7 +241,7 @@
         let items: Vec<_> = (0..30)
             .map(|m| wire::Item::Fact(session(n * 100 + m + 1, 5), Span(0)).bytes())
             .collect();
-        let bytes = wire::datagram("test", &head, &items);
+        let bytes = wire::Dialect::Own.datagram("test", &head, &items);
         net.give(
             0,
             Input::Datagram {
