Set-ups of connections are counted by cause: first, busy, again, crowded

Need: set-ups are the largest price left over the whole fleet, and nobody could say what they are for. Change: four counters beside connections_opened.

--- a/crates/driver/src/routing/errands.rs
+++ b/crates/driver/src/routing/errands.rs
@@ -46,6 +46,19 @@
     }
 }
 
+/// Why a new connection was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// None ever stood to that member, since it was listed or its connections were let go.
+    First,
+    /// All that stand are busy.
+    Busy,
+    /// One stood, and rested too long or was ended.
+    Again,
+    /// One stood, and was closed to make room for others.
+    Crowded,
+}
+
 /// Opens a connection under this number.
 pub type Dial = Box<dyn FnMut(u32, SocketAddr) -> io::Result<Line<Run>>>;
 
@@ -56,6 +69,8 @@
     running: BTreeMap<(u32, u8), u32>,
     ends: BTreeSet<(Point, u32)>,
     ages: Ages,
+    /// Members that a connection ever stood to, and whether the last one was closed to make room.
+    met: BTreeMap<u32, bool>,
     connect_timeout: Span,
     /// The settings' idle time, and the part of it that is used.
     idle_whole: Span,
@@ -75,6 +90,7 @@
             running: BTreeMap::new(),
             ends: BTreeSet::new(),
             ages: Ages::default(),
+            met: BTreeMap::new(),
             connect_timeout,
             idle_whole: idle.0,
             idle: idle.0 * idle.1.ratio(),
@@ -101,8 +117,9 @@
         errand: Errand,
         address: SocketAddr,
         query: Vec<u8>,
-    ) -> Result<bool, Ending> {
+    ) -> Result<Option<Cause>, Ending> {
         let mut errand = errand;
+        let mut cause = None;
         let earliest = now - self.ages.limit().unwrap_or(self.idle).min(self.idle);
         let connection = match self.pool.take(errand.member, address, earliest) {
             Some((id, since)) => {
@@ -112,6 +129,7 @@
             None => {
                 errand.reused = false;
                 errand.up = false;
+                cause = Some(self.cause(errand.member));
                 errand.ends = errand.until.min(now + self.connect_timeout);
                 self.open(errand.member, address)?
             }
@@ -122,12 +140,24 @@
         self.pool.tell(connection, Run::Query(query));
         self.ends.insert((errand.ends, connection));
         self.busy.insert(connection, errand);
-        Ok(!errand.reused)
+        Ok(cause)
+    }
+
+    fn cause(&mut self, member: u32) -> Cause {
+        match (self.met.insert(member, false), self.pool.stands(member)) {
+            (_, true) => Cause::Busy,
+            (None, _) => Cause::First,
+            (Some(true), _) => Cause::Crowded,
+            (Some(false), _) => Cause::Again,
+        }
     }
 
     fn open(&mut self, member: u32, address: SocketAddr) -> Result<u32, Ending> {
         if self.pool.count() >= self.most {
             let (_, oldest) = self.pool.oldest_idle().ok_or(Ending::NeverSent)?;
+            if let Some(crowded) = self.pool.member(oldest).and_then(|m| self.met.get_mut(&m)) {
+                *crowded = true;
+            }
             self.pool.remove(oldest);
         }
         let id = self.pool.next_id();
@@ -202,6 +232,7 @@
 
     /// Nothing more goes to this member: what sits idle there is of no use.
     pub fn let_go(&mut self, member: u32) {
+        self.met.remove(&member);
         self.pool.let_go(member);
     }
 
--- a/crates/driver/src/routing/figures.rs
+++ b/crates/driver/src/routing/figures.rs
@@ -1,5 +1,7 @@
 //! Counts of what was taken in, sent and answered.
 
+use super::errands::Cause;
+
 macro_rules! figures {
     ($($name:ident,)*) => {
         #[derive(Clone, Debug, Default)]
@@ -30,6 +32,10 @@
     rejected_for_memory,
     executions_sent,
     connections_opened,
+    opened_first,
+    opened_busy,
+    opened_again,
+    opened_crowded,
     ended_completed,
     ended_errored,
     ended_turned_away,
@@ -73,3 +79,18 @@
     open_clients,
     open_member_connections,
 }
+
+impl Figures {
+    /// A connection was opened for this, if any was.
+    pub fn opened(&mut self, cause: Option<Cause>) {
+        let Some(cause) = cause else { return };
+        self.connections_opened += 1;
+        let of = match cause {
+            Cause::First => &mut self.opened_first,
+            Cause::Busy => &mut self.opened_busy,
+            Cause::Again => &mut self.opened_again,
+            Cause::Crowded => &mut self.opened_crowded,
+        };
+        *of += 1;
+    }
+}
--- a/crates/driver/src/routing/owner/mod.rs
+++ b/crates/driver/src/routing/owner/mod.rs
@@ -624,7 +624,7 @@
             None => Err(Ending::NeverSent),
         };
         match started {
-            Ok(new) => self.figures.connections_opened += u64::from(new),
+            Ok(cause) => self.figures.opened(cause),
             Err(ending) => self.end(errand, now, ending, Sighting::default()),
         }
     }
--- a/crates/driver/src/transport/pool.rs
+++ b/crates/driver/src/transport/pool.rs
@@ -81,6 +81,11 @@
         Some(self.held.get(&id)?.member)
     }
 
+    /// Whether any connection stands to a member.
+    pub fn stands(&self, member: u32) -> bool {
+        self.idle.contains_key(&member) || self.held.values().any(|h| h.member == member)
+    }
+
     /// Members with an idle connection.
     pub fn idle_members(&self) -> usize {
         self.idle.len()
