In large fleets each driver asks its own replica of a group first, by rendezvous

The share by which a member lets in, pulled by a driver's own few answers, sent the others on, or turned away what another replica would have taken.

--- a/crates/driver/src/routing/owner/sharing.rs
+++ b/crates/driver/src/routing/owner/sharing.rs
@@ -5,6 +5,7 @@
 use crate::routing::endings;
 use crate::routing::errands::Kind;
 use crate::routing::sharing::{sightings, News, Out, Parked, Sharing, Word};
+use crate::routing::tables;
 use asterlatch::interface::*;
 use asterlatch::time::{Point, Span};
 use asterlatch_shared::doubts::{Known, Verdict, FOREVER};
@@ -296,6 +297,9 @@
                     Presence::There | Presence::Suspected => drop(sharing.there.insert(change.peer)),
                     Presence::Gone | Presence::Unheard => drop(sharing.there.remove(&change.peer)),
                 }
+                let keys = sharing.there.iter().map(|p| tables::key(&sharing.names[*p]));
+                self.module
+                    .peers_told(tables::key(&sharing.own_name), &keys.collect());
                 let (to, from) = (change.to.name(), change.from.name());
                 let name = sharing.names.get(change.peer).map_or("", String::as_str);
                 if change.to == Presence::Gone {
--- a/crates/driver/src/routing/tables.rs
+++ b/crates/driver/src/routing/tables.rs
@@ -122,6 +122,7 @@
         }
         Some(MemberEntry {
             id,
+            key: key(&e.name),
             // Settings have lost what their joined lists can't hold, so these names lose it too.
             zone: self.zones.intern(&word(&e.zone)) as u16,
             group: e.group,
@@ -137,6 +138,11 @@
     }
 }
 
+/// What a driver or member of this name is known by, alike at all drivers.
+pub fn key(name: &str) -> u64 {
+    hashed(name)
+}
+
 /// The session that a key names; zero stands for none.
 pub fn session(key: &str) -> u64 {
     hashed(key).max(1)
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -33,6 +33,7 @@
     let (size, started) = (f.f32()?, f.u64()?);
     Ok(MemberEntry {
         id,
+        key: u64::from(id),
         zone,
         group: u32::from(group),
         standing,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,17 +4,15 @@
 //! order, again and again, until none fires.
 
 use crate::fleet::{self, Fleet, Zones};
-use crate::health::{GOOD_PACE, NEWEST};
+use crate::health::{GOOD_PACE, NEWEST, OVERDUE, OVERDUE_PACES};
 use crate::interface::Ending::*;
 use crate::interface::*;
 use crate::state::*;
+use crate::subset::Firsts;
 use crate::time::{Point, Span};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A member owing answers for this long is overdue (the design's start); less where it owes many.
-const OVERDUE: Span = Span::millis(1000);
-const OVERDUE_PACES: f64 = 4.0;
 /// A held write goes out after this even if no primary is named.
 const HOLD: Span = Span::millis(250);
 /// A wake-up later than this shows that the driver itself was held up.
@@ -32,6 +30,8 @@
 const COMMON: f64 = 0.5;
 /// New connections are spared while setting them up takes this part of the SLO time more than usual.
 const DEAR: f64 = 0.15;
+/// Part of what the best of a group lets in from which on a driver stays with its own replica.
+const LOYAL: f64 = 0.7;
 /// Sessions whose last commit is remembered where it isn't carried.
 const SESSIONS_KEPT: usize = 50_000;
 /// Between calls for the list after a failure, as a share of the time in which the list must be asked for.
@@ -55,6 +55,8 @@
     settings: Settings,
     #[serde(skip)]
     fleet: Fleet,
+    #[serde(skip)]
+    firsts: Firsts,
     now: Point,
     chance: Chance,
     /// Smoothed time that an answer takes, by workload.
@@ -110,6 +112,7 @@
             ask_at: settings.list_on_request.then_some(now),
             settings: settings.clone(),
             fleet: Fleet::of(settings.driver_count),
+            firsts: Firsts::alone(seed),
             ..Driver::default()
         }
     }
@@ -120,6 +123,7 @@
         let settings = settings.clone();
         let mut d = Driver {
             fleet: Fleet::of(settings.driver_count),
+            firsts: Firsts::alone(learned.chance.seed),
             settings,
             now,
             ..learned
@@ -163,13 +167,11 @@
 
     /// Members that are cold: how warm on the mean of the rule's span, and what this driver would carry.
     pub fn cold_view(&self, now: Point) -> Vec<(u32, f64, f64)> {
-        let (f, then) = (&self.members, now - self.settings.fall_span * 0.5);
-        let warmth = |m: &usize| f.warmth(*m, then, &self.settings);
-        let cold = f
-            .index
-            .iter()
-            .filter(|(_, m)| f.warmth(**m, now, &self.settings) < 1.0);
-        cold.map(|(id, m)| (*id, warmth(m), self.carried(*m))).collect()
+        let cold = self
+            .members
+            .cold(now, now - self.settings.fall_span * 0.5, &self.settings);
+        cold.map(|(m, warmth)| (self.members.id[m], warmth, self.carried(m)))
+            .collect()
     }
 
     /// What a statement of a workload takes.
@@ -177,6 +179,11 @@
         self.typical[workload]
     }
 
+    /// Drivers that are there beside this one, by keys alike for all of them.
+    pub fn peers_told(&mut self, own: u64, others: &BTreeSet<u64>) -> bool {
+        self.firsts.among(own, others)
+    }
+
     /// Where a session's last write was committed that another driver carried.
     pub fn session_told(&mut self, session: u64, position: Point) {
         self.sessions.note(session, position, SESSIONS_KEPT);
@@ -340,7 +347,7 @@
             f.debt[m] = longest * self.chance.draw();
             self.groups[group].depose(m);
         }
-        (f.standing[m], f.zone[m], f.size[m]) = (e.standing, e.zone, e.size);
+        (f.standing[m], f.zone[m], f.size[m], f.key[m]) = (e.standing, e.zone, e.size, e.key);
         f.drained[m] |= e.standing == Standing::Draining;
         let g = &mut self.groups[group];
         let named = e.named_primary && !f.said_replica[m];
@@ -540,7 +547,7 @@
         let f = &self.members;
         let ahead = |at: Point| Some(at).filter(|at| *at > self.now);
         let times = [
-            self.overdue_at(m).filter(|_| !f.shunned[m]),
+            f.overdue_at(m, self.longest_typical()).filter(|_| !f.shunned[m]),
             self.probe_due(m),
             ahead(self.cold_until(m)),
         ];
@@ -555,7 +562,8 @@
     fn look_at_members(&mut self) -> bool {
         let ready = self.watch.ready(self.now);
         let Some(m) = ready else { return false };
-        if !self.members.shunned[m] && self.overdue_at(m).is_some_and(|at| at <= self.now) {
+        let overdue_at = self.members.overdue_at(m, self.longest_typical());
+        if !self.members.shunned[m] && overdue_at.is_some_and(|at| at <= self.now) {
             self.shun(m);
         }
         if self.probe_due(m).is_some_and(|at| at <= self.now) {
@@ -623,6 +631,7 @@
     fn home(&mut self, id: u32) -> Option<usize> {
         let s = &self.stmts[&id];
         let (g, w) = (s.group, s.workload);
+        self.groups.arrange(g, &self.members, &self.firsts);
         let primary = self.groups[g].primary;
         let fit = primary.filter(|p| self.fits(*p, s));
         if self.settings.needs_primary(w) {
@@ -632,13 +641,22 @@
         }
         let fits = |m: usize| Some(m) != primary && self.fits(m, s);
         let takes = |m: usize| fits(m) && self.has_room(m) && self.let_in(m, s);
-        let ready = self.by_turn(g, |m| fits(m) && self.covers(m, s)).is_some();
+        let ready = self.groups[g].by_turn(|m| fits(m) && self.covers(m, s)).is_some();
         // Departure: while new connections are dear, first a turn over the replicas that one stands to.
         let spared = |m| self.setup > DEAR && self.connected(m) && self.covers(m, s) && takes(m);
         let quiet = |m: usize, minds: bool| minds && self.is_quiet(m);
-        let turn = |minds| self.by_turn(g, |m| self.covers(m, s) && takes(m) && !quiet(m, minds));
-        let by_turn = self
-            .by_turn(g, spared)
+        let turn = |minds| self.groups[g].by_turn(|m| self.covers(m, s) && takes(m) && !quiet(m, minds));
+        // Departure: in large fleets a driver stays with its own replica, unless others let in clearly more.
+        let (members, let_in) = (&self.groups[g].members, &self.members.let_in);
+        let could = |m: &usize| fits(*m) && self.covers(*m, s) && self.has_room(*m) && !quiet(*m, true);
+        let open = members.iter().filter(|m| could(m));
+        let best = open.map(|m| let_in[*m]).fold(0.0, f64::max);
+        let stays = |m: usize| could(&m) && s.bar <= best && let_in[m] >= best * LOYAL;
+        let parted = self.fleet.parts_replicas() && self.sparse();
+        let mut order = self.groups[g].order.iter().copied().filter(|_| parted);
+        let by_turn = order
+            .find(|at| stays(members[*at]))
+            .or_else(|| self.groups[g].by_turn(spared))
             .or_else(|| turn(true))
             .or_else(|| turn(false));
         // Departure: where all ready replicas are full, the primary takes reads too; with half of its bound
@@ -649,7 +667,7 @@
         let spilled = fit.filter(|p| by_turn.is_none() && spills(p));
         // Departure: before a read goes without, a replica whose lag was last heard of long ago may be tried.
         let unsure = |m: usize| f.told_at[m].is_none_or(|at| self.now - at > OVERDUE);
-        let tried = || self.by_turn(g, |m| self.is_checked(s) && unsure(m) && takes(m));
+        let tried = || self.groups[g].by_turn(|m| self.is_checked(s) && unsure(m) && takes(m));
         let by_turn = by_turn.or_else(|| spilled.is_none().then(tried).flatten());
         let g = &mut self.groups[g];
         if !ready {
@@ -661,12 +679,6 @@
         by_turn.map(|at| g.members[at]).or(spilled)
     }
 
-    fn by_turn(&self, g: usize, takes: impl Fn(usize) -> bool) -> Option<usize> {
-        let (members, turn) = (&self.groups[g].members, self.groups[g].turn);
-        let places = (1..=members.len()).map(|step| (turn + step) % members.len());
-        places.into_iter().find(|at| takes(members[*at]))
-    }
-
     /// Where a write goes while no primary is named: after a miss or its hold to the next member, but never
     /// with the second half of its executions, which are kept for the primary.
     fn guess(&mut self, id: u32) -> Option<usize> {
@@ -751,9 +763,7 @@
     }
 
     fn connected(&self, m: usize) -> bool {
-        let f = &self.members;
-        let idle = self.now - f.used_at[m] > self.settings.connection_idle && f.open[m] == 0;
-        f.open[m] < f.connections[m] && !idle
+        self.members.connected(m, self.now, self.settings.connection_idle)
     }
 
     fn warmth(&self, m: usize) -> f64 {
@@ -782,12 +792,6 @@
         self.typical.iter().copied().max().unwrap_or(OVERDUE)
     }
 
-    fn overdue_at(&self, m: usize) -> Option<Point> {
-        let f = &self.members;
-        let patience = self.longest_typical() * (OVERDUE_PACES * (1.0 + 2.0 / f.open[m].max(1) as f64));
-        (f.open[m] > 0).then(|| f.owes_since[m] + patience.min(OVERDUE))
-    }
-
     fn probe_due(&self, m: usize) -> Option<Point> {
         let f = &self.members;
         let g = &self.groups[f.group[m]];
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -62,7 +62,18 @@
     /// for, a read finds out as well, at no cost; many drivers that start together, or hear of new members together,
     /// would ask each of them hundreds of times.
     pub fn greets(self, members_check_reads: bool) -> bool {
-        !members_check_reads || PROBE_EACH * self.drivers <= PROBE_GAP
+        !members_check_reads || !self.is_large()
+    }
+
+    /// Whether drivers part a group's replicas among them: where each asks little, turns over all of them by each have a
+    /// connection stand between every two, which costs more than the unevenness of single drivers, of which there are many.
+    pub fn parts_replicas(self) -> bool {
+        self.is_large()
+    }
+
+    /// So many that each is to ask what is wanted more rarely than it would alone: over twenty.
+    fn is_large(self) -> bool {
+        PROBE_EACH * self.drivers > PROBE_GAP
     }
 
     /// How many times what it is thought to bear a cold member may be sent, of the rule's multiple. Its own quick
--- a/src/health.rs
+++ b/src/health.rs
@@ -10,6 +10,9 @@
 const BAD_PACE: f64 = 0.38;
 const CUT: f64 = 0.85;
 const GROWTH: f64 = 0.5;
+/// A member owing answers for this long is overdue (the design's start); less where it owes many.
+pub const OVERDUE: Span = Span::millis(1000);
+pub const OVERDUE_PACES: f64 = 4.0;
 /// Share of what a member has borne in good time that a bound keeps: slowness is not always crowding.
 const SEEN_TO_WORK: f64 = 0.3;
 /// How far an answer pulls the share of statements that its member is let in, from which part of the SLO time, and the
@@ -51,6 +54,18 @@
         }
     }
 
+    /// An idle connection stands there that is young enough to be used.
+    pub fn connected(&self, m: usize, now: Point, idle: Span) -> bool {
+        let old = now - self.used_at[m] > idle && self.open[m] == 0;
+        self.open[m] < self.connections[m] && !old
+    }
+
+    /// When it has owed answers for too long: sooner where it owes many.
+    pub fn overdue_at(&self, m: usize, longest_typical: Span) -> Option<Point> {
+        let patience = longest_typical * (OVERDUE_PACES * (1.0 + 2.0 / self.open[m].max(1) as f64));
+        (self.open[m] > 0).then(|| self.owes_since[m] + patience.min(OVERDUE))
+    }
+
     /// Between the least of a member that has just started and 1.
     pub fn warmth(&self, m: usize, now: Point, settings: &Settings) -> f64 {
         let cold = settings.cold_share;
@@ -58,6 +73,18 @@
         self.started[m].map_or(1.0, |at| (cold + (1.0 - cold) * age(at)).min(1.0))
     }
 
+    /// Members that are cold now, and how warm they are at another time.
+    pub fn cold<'a>(
+        &'a self,
+        now: Point,
+        then: Point,
+        settings: &'a Settings,
+    ) -> impl Iterator<Item = (usize, f64)> + 'a {
+        let all = self.index.values().copied();
+        let cold = all.filter(move |m| self.warmth(*m, now, settings) < 1.0);
+        cold.map(move |m| (m, self.warmth(m, then, settings)))
+    }
+
     /// Until when a cold member gets nothing: its last send is a debt, paid off at this rate, in parts of a core, which all
     /// drivers together keep the budget by. Where it is known what all others send, what is allowed binds instead.
     pub fn cold_until(&self, m: usize, now: Point, pays: f64) -> Point {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -175,6 +175,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MemberEntry {
     pub id: u32,
+    /// Alike at all drivers.
+    pub key: u64,
     pub zone: u16,
     pub group: u32,
     pub standing: Standing,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a driver remembers: plain records and counters. No decision and no tuned value is here.
 
 use crate::interface::Standing;
+use crate::subset::{Firsts, Replica};
 use crate::time::{Point, Span};
 use serde::{Deserialize, Serialize};
 use std::collections::hash_map::DefaultHasher;
@@ -87,6 +88,11 @@
     /// The newest position at which a member spoke as primary.
     pub primary_at: Point,
     pub turn: usize,
+    /// Places in `members` of the replicas, in this driver's order, and for what that was reckoned.
+    #[serde(skip)]
+    pub order: Vec<usize>,
+    #[serde(skip)]
+    ordered_for: Option<u64>,
     /// Statements stay with the process that took them.
     #[serde(skip)]
     waiting: BTreeMap<usize, BTreeSet<Rank>>,
@@ -102,6 +108,29 @@
 }
 
 impl Groups {
+    /// Has the group's order over its replicas reckoned anew where anything that it goes by has changed.
+    pub fn arrange(&mut self, g: usize, members: &Members, firsts: &Firsts) {
+        let g = &mut self.all[g];
+        let mut hasher = DefaultHasher::new();
+        (firsts.epoch, g.primary, &g.members).hash(&mut hasher);
+        for m in &g.members {
+            (members.key[*m], members.size[*m].to_bits()).hash(&mut hasher);
+        }
+        let now = Some(hasher.finish());
+        if std::mem::replace(&mut g.ordered_for, now) == now {
+            return;
+        }
+        let places = g.members.iter().enumerate();
+        let (places, replicas): (Vec<usize>, Vec<Replica>) = places
+            .filter(|(_, m)| Some(**m) != g.primary)
+            .map(|(at, m)| {
+                let (key, size) = (members.key[*m], members.size[*m]);
+                (at, Replica { key, size })
+            })
+            .unzip();
+        g.order = firsts.order(&replicas).into_iter().map(|r| places[r]).collect();
+    }
+
     pub fn at(&mut self, id: u32) -> usize {
         let g = *self.index.entry(id).or_insert(self.all.len());
         let count = self.all.len().max(g + 1);
@@ -146,6 +175,12 @@
 }
 
 impl Group {
+    /// The place behind the last turn's whose member takes it.
+    pub fn by_turn(&self, takes: impl Fn(usize) -> bool) -> Option<usize> {
+        let places = (1..=self.members.len()).map(|step| (self.turn + step) % self.members.len());
+        places.into_iter().find(|at| takes(self.members[*at]))
+    }
+
     /// What waits, by workload and rank.
     pub fn queued(&self) -> impl Iterator<Item = &Rank> {
         self.waiting.values().flatten()
@@ -263,6 +298,7 @@
 }
 columns! { Members,
     id: u32 = 0;
+    key: u64 = 0;
     group: usize = 0;
     zone: u16 = 0;
     standing: Standing = Standing::Ready;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -65,6 +65,7 @@
 pub fn member(id: u32) -> MemberEntry {
     MemberEntry {
         id,
+        key: u64::from(id),
         group: 7,
         size: 1.0,
         named_primary: id == 1,
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -37,6 +37,7 @@
 fn entry(id: u32, standing: Standing, started: Option<Point>) -> MemberEntry {
     MemberEntry {
         id,
+        key: u64::from(id),
         group: id % 3,
         zone: (id % 2) as u16,
         size: 1.0,
