Drivers take turns at lost members, know silent ones together, and count each other, in service

Need: what each driver does alone adds up, and what it learns alone comes late. Greetings at a start stay each driver's own.

Seven scenes of twelve processes (a member that hangs, half of all words lost, turn holders stopped and killed, a third killed, grown and shrunk, a zone back cold, lists that differ): all rules kept.

--- a/crates/driver/src/program/sharing.rs
+++ b/crates/driver/src/program/sharing.rs
@@ -17,6 +17,7 @@
 use asterlatch_shared::keep::{self, Keeper, Told, Wish};
 use asterlatch_shared::peers::Times;
 use asterlatch_shared::wire::Dialect;
+use asterlatch_turns::lease::Claim;
 use serde_json::{json, Value};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -517,6 +518,11 @@
             work_us, carries_us, ..
         } => format!("{work_us} us of work, carries {carries_us} us a second"),
         Fact::Session { position, .. } => format!("written at {position}"),
+        Fact::Turn { claim, .. } => {
+            let Claim { term, holder, said, end, .. } = claim;
+            format!("{end:?} by {holder:016x}, term {term}, said {said} times")
+        }
+        Fact::Late { before_us, .. } => format!("sent {} ms before", before_us / 1000),
         Fact::Driver { life, list, file, caught_up, .. } => {
             format!("life {life}, list {list}, file {file:016x}, caught up {caught_up}")
         }
--- a/crates/driver/src/routing/errands.rs
+++ b/crates/driver/src/routing/errands.rs
@@ -242,6 +242,12 @@
         executions.map(|e| e.member)
     }
 
+    /// The same, each with when it was sent.
+    pub fn sent(&self) -> impl Iterator<Item = (u32, Point)> + '_ {
+        let executions = self.busy.values().filter(|e| e.kind != Kind::Probe);
+        executions.map(|e| (e.member, e.sent))
+    }
+
     /// Has all idle connections go to another process.
     pub fn hand_over_idle(&mut self) {
         for id in self.pool.retire_idle() {
--- a/crates/driver/src/routing/mod.rs
+++ b/crates/driver/src/routing/mod.rs
@@ -11,3 +11,4 @@
 pub mod sharing;
 pub mod statements;
 pub mod tables;
+pub mod turns;
--- a/crates/driver/src/routing/owner/mod.rs
+++ b/crates/driver/src/routing/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod beside;
 mod sharing;
+mod turns;
 
 use crate::protocol::comment::{self, Marked, Unreadable};
 use crate::protocol::roster::Roster;
@@ -588,10 +589,9 @@
             }
         }
         for member in &results.probes {
-            self.figures.probes_sent += 1;
-            // As long as a connection may take to come up: the settings know no other bound for a probe.
-            let until = now + self.decoding.connect_timeout;
-            self.start(now, Errand::new(Kind::Probe, *member, now, until));
+            if self.may_probe(now, *member) {
+                self.probe(now, *member);
+            }
         }
         for member in &results.let_go {
             self.members.let_go(*member);
@@ -602,6 +602,13 @@
         }
     }
 
+    fn probe(&mut self, now: Point, member: u32) {
+        self.figures.probes_sent += 1;
+        // As long as a connection may take to come up: the settings know no other bound for a probe.
+        let until = now + self.decoding.connect_timeout;
+        self.start(now, Errand::new(Kind::Probe, member, now, until));
+    }
+
     /// Sends what the errand is for.
     fn start(&mut self, now: Point, errand: Errand) {
         let query = match errand.kind {
--- a/crates/driver/src/routing/owner/sharing.rs
+++ b/crates/driver/src/routing/owner/sharing.rs
@@ -5,7 +5,6 @@
 use crate::routing::endings;
 use crate::routing::errands::Kind;
 use crate::routing::sharing::{sightings, News, Out, Parked, Sharing, Word};
-use crate::routing::tables;
 use asterlatch::interface::*;
 use asterlatch::time::{Point, Span};
 use asterlatch_shared::doubts::{Known, Verdict, FOREVER};
@@ -38,9 +37,13 @@
         let members = &self.members;
         sharing.reach(now, |m| members.told_as(m));
         let due = sharing.inquiries.due(now);
+        let turns = sharing.turns_at.take_if(|at| *at <= now).is_some();
         if sharing.cold_at.take_if(|at| *at <= now).is_some() {
             self.share_cold(now);
         }
+        if turns {
+            self.take_turns(now);
+        }
         for (name, verdict) in due {
             self.figures.inquiries_unanswered += 1;
             self.decided(now, name, verdict);
@@ -119,6 +122,13 @@
         let Some(sharing) = &mut self.sharing else { return };
         let (ending, sighting) = end;
         sharing.saw(now, member, sighting);
+        let answered = matches!(
+            ending,
+            Ending::Completed | Ending::Missed | Ending::Errored | Ending::TurnedAway
+        );
+        if let Some(name) = self.members.name(member).filter(|_| answered) {
+            sharing.turns.silence.heard(name, now);
+        }
         let Kind::Execution { stmt, number } = kind else {
             return;
         };
@@ -297,9 +307,8 @@
                     Presence::There | Presence::Suspected => drop(sharing.there.insert(change.peer)),
                     Presence::Gone | Presence::Unheard => drop(sharing.there.remove(&change.peer)),
                 }
-                let keys = sharing.there.iter().map(|p| tables::key(&sharing.names[*p]));
-                self.module
-                    .peers_told(tables::key(&sharing.own_name), &keys.collect());
+                self.count_peers(now);
+                let Some(sharing) = &self.sharing else { return };
                 let (to, from) = (change.to.name(), change.from.name());
                 let name = sharing.names.get(change.peer).map_or("", String::as_str);
                 if change.to == Presence::Gone {
@@ -341,6 +350,9 @@
                         .is_some_and(|(_, at, _)| at == *started_ms)
                 };
                 let Some(member) = member.filter(same) else { return };
+                if let Some(sharing) = &mut self.sharing {
+                    sharing.turns.silence.heard(name, told);
+                }
                 // Never as new as what it says to this driver itself.
                 let ago = (now - told).max(Span(1));
                 for sighting in sightings(*position, *primary_at, *replica_at) {
@@ -388,6 +400,17 @@
                     cold.told(told, member, *started_ms, driver, *life, *work_us, *carries_us);
                 }
             }
+            Fact::Turn { subject, claim } => {
+                if let Some(sharing) = &mut self.sharing {
+                    sharing.turns.leases.told(now, subject, *claim, now - told);
+                }
+            }
+            Fact::Late {
+                member,
+                driver,
+                before_us,
+                ..
+            } => self.late_elsewhere(member, driver, told - Span(*before_us), told),
             Fact::Driver { .. } => {}
         }
         self.tell_ended(now);
--- /dev/null
+++ b/crates/driver/src/routing/owner/turns.rs
@@ -0,0 +1,94 @@
+//! Turns among drivers, and what they know of a member together.
+
+use super::{Observer, Owner};
+use crate::routing::sharing::Word;
+use crate::routing::tables;
+use asterlatch::fleet;
+use asterlatch::interface::Told;
+use asterlatch::time::Point;
+use std::collections::{BTreeMap, BTreeSet};
+
+impl<O: Observer> Owner<O> {
+    /// The drivers that are there by now, and how many count.
+    pub(super) fn count_peers(&mut self, now: Point) {
+        let Some(sharing) = &mut self.sharing else { return };
+        let keys = sharing.there.iter().map(|p| tables::key(&sharing.names[*p]));
+        let others: BTreeSet<u64> = keys.collect();
+        let count = sharing.turns.there(now, &others);
+        self.module
+            .peers_told(tables::key(&sharing.own_name), &others, count);
+    }
+
+    /// Whether this driver asks a member itself that its module wants asked, or leaves that to whose turn it is.
+    pub(super) fn may_probe(&mut self, now: Point, member: u32) -> bool {
+        let Some(sharing) = &mut self.sharing else {
+            return true;
+        };
+        let Some(name) = self.members.name(member) else {
+            return true;
+        };
+        let may = sharing.turns.may_probe(now, name, sharing.there.is_empty());
+        self.figures.probes_left_to_others += u64::from(!may);
+        may
+    }
+
+    /// What is due each tick: claims and renewals, asking for all, late executions, members that are silent for all.
+    pub(super) fn take_turns(&mut self, now: Point) {
+        self.count_peers(now);
+        let late = self.late_here(now);
+        let Some(sharing) = &mut self.sharing else { return };
+        sharing.turns_at = Some(now + sharing.terms.tick);
+        let (module, members) = (&self.module, &self.members);
+        let wants = |name: &str| members.find(name).is_some_and(|m| module.wants_probe(m));
+        let (mut facts, ask) = sharing.turns.reach(now, wants);
+        facts.extend(sharing.turns.is_late(now, &late));
+        let news = sharing.turns.silence.news(now).into_iter();
+        let silent: Vec<_> = news
+            .filter_map(|(name, until)| Some((members.find(&name)?, until)))
+            .collect();
+        sharing.turns.silence.age(now);
+        if !facts.is_empty() {
+            (sharing.tell)(Word::Observed(facts));
+        }
+        for member in ask
+            .iter()
+            .filter_map(|name| self.members.find(name))
+            .collect::<Vec<_>>()
+        {
+            self.figures.probes_for_all += 1;
+            self.probe(now, member);
+        }
+        for (member, until) in silent {
+            self.figures.silent_by_word += u64::from(until > Point(0));
+            let results = self.module.told(now, member, Told::Silent(until));
+            self.carry_out(now, results);
+        }
+    }
+
+    /// Members at which executions of this driver are late, each with when the last such was sent.
+    fn late_here(&self, now: Point) -> BTreeMap<String, Point> {
+        let before = fleet::late_since(now, self.module.longest_typical());
+        let mut late: BTreeMap<String, Point> = BTreeMap::new();
+        for (member, sent) in self.errands.sent().filter(|(_, sent)| *sent < before) {
+            if let Some(name) = self.members.name(member) {
+                let last = late.entry(name.to_owned()).or_insert(sent);
+                *last = sent.max(*last);
+            }
+        }
+        late
+    }
+
+    /// Another driver has a late execution there.
+    pub(super) fn late_elsewhere(&mut self, member: &str, driver: &str, sent: Point, said: Point) {
+        // One that isn't listed here is nobody's business here.
+        if self.members.find(member).is_none() {
+            return;
+        }
+        if let Some(sharing) = &mut self.sharing {
+            sharing
+                .turns
+                .silence
+                .late(member, tables::key(driver), sent, said);
+        }
+    }
+}
--- a/crates/driver/src/routing/sharing.rs
+++ b/crates/driver/src/routing/sharing.rs
@@ -1,6 +1,8 @@
 //! What the owner keeps for what drivers tell each other: what was seen and is still to be told, which statements went out
 //! that must not run twice, and which wait for others' word. It speaks to the engine by words, and never waits for it.
 
+use super::tables;
+use super::turns::Turns;
 use asterlatch::interface::{Sighting, Statement};
 use asterlatch::time::{Point, Span};
 use asterlatch_shared::cold::{self, Cold};
@@ -81,6 +83,8 @@
     pub there: BTreeSet<usize>,
     pub own_name: String,
     pub life: u64,
+    pub turns: Turns,
+    pub turns_at: Option<Point>,
     drained: BTreeSet<String>,
     saw: BTreeMap<u32, Saw>,
     waiting: Vec<(Fact, Point)>,
@@ -104,7 +108,11 @@
         own: (String, u64),
         tell: Tell,
     ) -> Sharing {
+        let named = names.len() as u32 + 1;
+        let own_key = tables::key(&own.0);
         Sharing {
+            turns: Turns::new(now, (own_key, own.0.clone(), own.1), terms.tick, named),
+            turns_at: Some(now),
             tell,
             terms,
             asked,
@@ -131,7 +139,12 @@
     }
 
     pub fn next_at(&self) -> Option<Point> {
-        let times = [self.tell_at, self.inquiries.next_at(), self.cold_at];
+        let times = [
+            self.tell_at,
+            self.inquiries.next_at(),
+            self.cold_at,
+            self.turns_at,
+        ];
         times.into_iter().flatten().min()
     }
 
--- /dev/null
+++ b/crates/driver/src/routing/turns.rs
@@ -0,0 +1,126 @@
+//! What the owner keeps for turns among drivers and for what they know of members together: the rules stand in
+//! `asterlatch_turns`, here they meet members' names, ticks and facts.
+
+use asterlatch::time::{Point, Span};
+use asterlatch_shared::fact::Fact;
+use asterlatch_turns::lease::{End, Leases, Stand, Terms};
+use asterlatch_turns::silence::{self, Silence};
+use asterlatch_turns::size::Size;
+use asterlatch_turns::Key;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The holder of a turn asks a lost member this often; alone each driver asks it the more rarely the more there are.
+const ASKS: Span = Span::millis(300);
+/// Whether a fleet is smaller counts after this.
+const SHRINKS: Span = Span::millis(30_000);
+
+pub struct Turns {
+    pub leases: Leases,
+    pub silence: Silence,
+    pub size: Size,
+    own: Key,
+    name: String,
+    life: u64,
+    said: u64,
+    /// How many count, as the module was last told.
+    pub count: u32,
+    /// Members whose probes the module wants, by name, and when this driver last asked each for all.
+    wanted: BTreeMap<String, Point>,
+    /// Members that this driver has told of late executions at.
+    late: BTreeSet<String>,
+}
+
+/// Of a turn that is for asking a lost member whether it is back.
+fn subject(member: &str) -> String {
+    format!("probe {member}")
+}
+
+impl Turns {
+    /// `all` are the drivers that the operators' file names, this one among them.
+    pub fn new(now: Point, (own, name, life): (Key, String, u64), tick: Span, all: u32) -> Turns {
+        let terms = Terms {
+            // A word may wait for a tick at each of two drivers before it is here.
+            step: Terms::default().step.max(tick * 2.5),
+            ..Terms::default()
+        };
+        Turns {
+            leases: Leases::new(own, life, terms),
+            silence: Silence::new(own, silence::Terms::default()),
+            size: Size::new(all, SHRINKS, now),
+            own,
+            name,
+            life,
+            said: 0,
+            count: all,
+            wanted: BTreeMap::new(),
+            late: BTreeSet::new(),
+        }
+    }
+
+    /// Others that are there; how many count by now.
+    pub fn there(&mut self, now: Point, others: &BTreeSet<Key>) -> u32 {
+        self.leases.there(others);
+        self.count = self.size.reach(now, others.len() as u32 + 1);
+        self.count
+    }
+
+    /// The module wants a member probed. Whether this driver may: who has nobody beside it always may.
+    pub fn may_probe(&mut self, now: Point, member: &str, alone: bool) -> bool {
+        if alone {
+            return true;
+        }
+        self.leases.want(now, &subject(member));
+        self.wanted.entry(member.to_owned()).or_insert(Point(0));
+        matches!(
+            self.leases.stand(now, &subject(member)),
+            Stand::Mine | Stand::Done
+        )
+    }
+
+    /// Facts to be told, and members that this driver is to ask now for all. `wants` says whether the module still wants a
+    /// member probed.
+    pub fn reach(&mut self, now: Point, wants: impl Fn(&str) -> bool) -> (Vec<(Fact, Span)>, Vec<String>) {
+        let (mut facts, mut ask) = (Vec::new(), Vec::new());
+        let turn = |subject, claim| (Fact::Turn { subject, claim }, Span(0));
+        let over: Vec<String> = self.wanted.keys().filter(|m| !wants(m)).cloned().collect();
+        for member in over {
+            self.wanted.remove(&member);
+            // It is wanted no more because it has answered, or is listed no more.
+            let told = self.leases.rest(now, &subject(&member), End::Done);
+            facts.extend(told.map(|claim| turn(subject(&member), claim)));
+        }
+        facts.extend(
+            self.leases
+                .reach(now)
+                .into_iter()
+                .map(|(s, claim)| turn(s, claim)),
+        );
+        for (member, asked) in &mut self.wanted {
+            let holds = self.leases.stand(now, &subject(member)) == Stand::Mine;
+            if holds && now - *asked >= ASKS {
+                *asked = now;
+                ask.push(member.clone());
+            }
+        }
+        (facts, ask)
+    }
+
+    /// This driver has late executions at these members, each with when its last was sent.
+    pub fn is_late(&mut self, now: Point, late: &BTreeMap<String, Point>) -> Vec<(Fact, Span)> {
+        self.late = late.keys().cloned().collect();
+        let mut facts = Vec::new();
+        for (member, sent) in late {
+            self.silence.late(member, self.own, *sent, now);
+            self.said += 1;
+            let fact = Fact::Late {
+                member: member.clone(),
+                driver: self.name.clone(),
+                life: self.life,
+                said: self.said,
+                before_us: (now - *sent).0,
+            };
+            facts.push((fact, Span(0)));
+        }
+        facts
+    }
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -335,7 +335,8 @@
         Ok(())
     }
 
-    fn end(&mut self) {
+    /// Has all end; what they counted.
+    fn end(&mut self) -> BTreeMap<String, u64> {
         for p in &self.processes {
             self.signal(p.number, "CONT");
             self.signal(p.number, "TERM");
@@ -345,6 +346,19 @@
                 let _ = child.wait();
             }
         }
+        let mut counters: BTreeMap<String, u64> = BTreeMap::new();
+        for p in &self.processes {
+            let log = std::fs::read_to_string(self.path(p.number, &format!("{}.log", p.starts)));
+            for pair in log.unwrap_or_default().split_whitespace() {
+                let count = pair
+                    .split_once('=')
+                    .and_then(|(name, n)| Some((name, n.parse::<u64>().ok()?)));
+                if let Some((name, count)) = count {
+                    *counters.entry(name.to_owned()).or_default() += count;
+                }
+            }
+        }
+        counters
     }
 }
 
@@ -393,6 +407,8 @@
     pub equal: Option<f64>,
     /// Processor time of all drivers that lived to the end, in seconds.
     pub cpu: f64,
+    /// What drivers counted, summed over those that lived to the end.
+    pub counters: BTreeMap<String, u64>,
 }
 
 impl Outcome {
@@ -439,7 +455,7 @@
             outcome.broken.insert("copies never equal", 1);
         }
     }
-    fleet.end();
+    outcome.counters = fleet.end();
     weigh(&fleet, &records, &mut outcome);
     let _ = std::fs::remove_dir_all(&fleet.folder);
     Ok(outcome)
@@ -557,6 +573,19 @@
                 self.bytes
             )?;
         }
+        let count = |name: &str| self.counters.get(name).copied().unwrap_or(0);
+        writeln!(
+            f,
+            "connections opened {} (first {}, busy {}, again {}), probes {}, for all {}, left to others {}, members silent by word {}",
+            count("connections_opened"),
+            count("opened_first"),
+            count("opened_busy"),
+            count("opened_again"),
+            count("probes_sent"),
+            count("probes_for_all"),
+            count("probes_left_to_others"),
+            count("silent_by_word")
+        )?;
         for (what, count) in &self.broken {
             writeln!(f, "broken: {count} times {what}")?;
         }
@@ -599,3 +628,41 @@
         "300ms driver 1 is renewed for 200ms\n1s driver 2 is renewed for 200ms\n1700ms driver 3 is renewed for 200ms\n2500ms driver 1 is killed for 200ms",
     ),
 ];
+
+/// The same with so many drivers that each sees little: what they do together.
+pub const WIDE_DRIVERS: u32 = 12;
+pub const WIDE: [(&str, &str); 7] = [
+    ("silent", "1s member 2 hangs for 3s"),
+    ("silent-lossy", "0s links lose 50% for 6s\n1s member 2 hangs for 3s"),
+    // Whoever holds the turn to ask member 2, a stopped or killed one is followed by another.
+    (
+        "holder",
+        "500ms member 2 is down for 4s\n1s driver 1 stops for 2s\n1s driver 2 stops for 2s\n1s driver 3 stops for 2s\n1s driver 4 stops for 2s\n2s driver 5 is killed for 1s\n2s driver 6 is killed for 1s",
+    ),
+    (
+        "third",
+        "1s driver 1 is killed for 2s\n1s driver 2 is killed for 2s\n1s driver 3 is killed for 2s\n1s driver 4 is killed for 2s",
+    ),
+    // Four come late, and four others go.
+    (
+        "grows-and-shrinks",
+        "0s driver 9 is killed for 2s\n0s driver 10 is killed for 2s\n0s driver 11 is killed for 2s\n0s driver 12 is killed for 2s\n3s driver 1 is killed for 2s\n3s driver 2 is killed for 2s\n3s driver 3 is killed for 2s",
+    ),
+    (
+        "zone-cold",
+        "500ms member 2 starts for 4s\n500ms member 4 starts for 4s\n500ms member 6 starts for 4s\n1s driver 1 is killed for 1s",
+    ),
+    (
+        "lists-differ",
+        "0s driver 3 hears no list for 6s\n0s driver 4 hears no list for 6s\n0s driver 5 hears no list for 6s\n1s member 2 drains for 4s\n1500ms split 3 6 7 from 1 2 for 2s",
+    ),
+];
+
+/// Every scene: its name, how many drivers it has, and its script; `drivers` for those that leave it open.
+pub fn scenes(drivers: u32) -> impl Iterator<Item = (&'static str, u32, &'static str)> {
+    let narrow = SCENES.into_iter().map(move |(name, text)| (name, drivers, text));
+    let wide = WIDE
+        .into_iter()
+        .map(move |(name, text)| (name, drivers.max(WIDE_DRIVERS), text));
+    narrow.chain(wide)
+}
--- a/crates/shared/src/engine.rs
+++ b/crates/shared/src/engine.rs
@@ -607,7 +607,8 @@
 fn own_name(fact: &Fact) -> String {
     match fact {
         Fact::Member { name, .. } | Fact::Drain { name, .. } | Fact::Driver { name, .. } => name.clone(),
-        Fact::Cold { member, .. } => member.clone(),
+        Fact::Cold { member, .. } | Fact::Late { member, .. } => member.clone(),
+        Fact::Turn { subject, .. } => subject.clone(),
         Fact::Session { .. } => String::new(),
     }
 }
--- a/crates/shared/src/fact.rs
+++ b/crates/shared/src/fact.rs
@@ -3,6 +3,7 @@
 //! stands, and `quarrel` keeps both.
 
 use asterlatch::time::{Point, Span};
+use asterlatch_turns::lease::Claim;
 use serde::{Deserialize, Serialize};
 
 /// How the list calls a member.
@@ -61,19 +62,41 @@
         file: u64,
         caught_up: bool,
     },
+    /// Who does something for all. Its owner is the claim's holder; `asterlatch_turns::lease` says which stands.
+    Turn { subject: String, claim: Claim },
+    /// A driver has an execution out at a member that is late: it was sent so long before this was said. Its owner is that
+    /// driver; the `said`th telling counts. With another driver's it may have reads go elsewhere for a moment, and alone
+    /// nothing.
+    Late {
+        member: String,
+        driver: String,
+        life: u64,
+        said: u64,
+        before_us: u64,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Kind {
     /// In the order in which they are told when not all can be.
     Drain,
+    Turn,
+    Late,
     Cold,
     Member,
     Driver,
     Session,
 }
 
-pub const KINDS: [Kind; 5] = [Kind::Drain, Kind::Cold, Kind::Member, Kind::Driver, Kind::Session];
+pub const KINDS: [Kind; 7] = [
+    Kind::Drain,
+    Kind::Turn,
+    Kind::Late,
+    Kind::Cold,
+    Kind::Member,
+    Kind::Driver,
+    Kind::Session,
+];
 
 /// Of what a fact tells. Two facts of one key are two tellings of the same.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -91,6 +114,8 @@
             Kind::Cold => 18,
             Kind::Session => 19,
             Kind::Driver => 20,
+            Kind::Turn => 21,
+            Kind::Late => 22,
         }
     }
 
@@ -101,6 +126,8 @@
             Kind::Cold => "cold",
             Kind::Session => "session",
             Kind::Driver => "driver",
+            Kind::Turn => "turn",
+            Kind::Late => "late",
         }
     }
 
@@ -115,13 +142,17 @@
             // Replicas that are further behind are none that reads go to.
             Kind::Session => Span::millis(30_000),
             Kind::Driver => Span::millis(600_000),
+            // Longer than any lease.
+            Kind::Turn => Span::millis(60_000),
+            Kind::Late => Span::millis(5_000),
         }
     }
 
     /// How many of this kind a copy holds at most; the oldest go first.
     pub fn most(self) -> usize {
         match self {
-            Kind::Member | Kind::Drain => 4096,
+            Kind::Member | Kind::Drain | Kind::Turn => 4096,
+            Kind::Late => 16_384,
             Kind::Cold => 16_384,
             Kind::Session => 32_768,
             Kind::Driver => 1024,
@@ -146,6 +177,8 @@
             Fact::Cold { .. } => Kind::Cold,
             Fact::Session { .. } => Kind::Session,
             Fact::Driver { .. } => Kind::Driver,
+            Fact::Turn { .. } => Kind::Turn,
+            Fact::Late { .. } => Kind::Late,
         }
     }
 
@@ -159,6 +192,8 @@
                 ..
             } => format!("{member} {started_ms} {driver}"),
             Fact::Session { session, .. } => format!("{session:016x}"),
+            Fact::Turn { subject, .. } => subject.clone(),
+            Fact::Late { member, driver, .. } => format!("{member} {driver}"),
         };
         Key(self.kind(), of)
     }
@@ -170,7 +205,8 @@
             Fact::Member { name, .. } | Fact::Drain { name, .. } | Fact::Driver { name, .. } => {
                 named(&[name])
             }
-            Fact::Cold { member, driver, .. } => named(&[member, driver]),
+            Fact::Cold { member, driver, .. } | Fact::Late { member, driver, .. } => named(&[member, driver]),
+            Fact::Turn { subject, .. } => named(&[subject]),
             Fact::Session { session, .. } => *session != 0,
         }
     }
@@ -278,6 +314,23 @@
                 // Who hasn't caught up is believed in that.
                 (life, said, !caught_up, list, file) >= (li, sa, !c, l, f),
             ),
+            (Fact::Turn { claim, .. }, Fact::Turn { claim: c, .. }) => {
+                larger(self, other, claim.joined(*c) == *claim)
+            }
+            (
+                Fact::Late {
+                    life,
+                    said,
+                    before_us,
+                    ..
+                },
+                Fact::Late {
+                    life: l,
+                    said: s,
+                    before_us: b,
+                    ..
+                },
+            ) => larger(self, other, (life, said, before_us) >= (l, s, b)),
             _ => self.clone(),
         }
     }
--- a/crates/shared/src/keep.rs
+++ b/crates/shared/src/keep.rs
@@ -184,7 +184,8 @@
         // A drain binds, a session's write must be seen, what a cold member bore counts, as if told just now.
         Kind::Drain | Kind::Session | Kind::Cold => Some(Span(0)),
         // How far a member was an unknown time ago proves nothing.
-        Kind::Member | Kind::Driver => None,
+        // Turns and late executions of a former life are nobody's any more.
+        Kind::Member | Kind::Driver | Kind::Turn | Kind::Late => None,
     }
 }
 
--- a/crates/turns/src/lease.rs
+++ b/crates/turns/src/lease.rs
@@ -77,6 +77,8 @@
 
 /// Part of the time that a holder acts after which it renews.
 const RENEW: f64 = 0.4;
+/// From this rank on all wait alike: those before them may not want it at all, and if several claim, one word settles it.
+const LAST: usize = 4;
 /// Subjects that are kept at most; the one heard of longest ago goes.
 const MOST: usize = 4096;
 /// A subject that nobody speaks of any more is let go after so many leases: longer than any claim of a former term travels.
@@ -212,14 +214,12 @@
             .map_or(Stand::Open, |s| self.stand_of(now, s))
     }
 
-    /// How many of those that are there come before this driver.
+    /// How many of those that are there come before this driver, as far as that is waited for.
     fn rank(&self, subject: &str) -> usize {
         let of = |key: Key| (xxh3_64_with_seed(subject.as_bytes(), key), key);
         let own = of(self.own);
-        self.there
-            .iter()
-            .filter(|k| **k != self.own && of(**k) < own)
-            .count()
+        let before = self.there.iter().filter(|k| **k != self.own && of(**k) < own);
+        before.take(LAST).count()
     }
 
     /// Does what is due: claims and renewals to be told.
--- a/crates/turns/src/silence.rs
+++ b/crates/turns/src/silence.rs
@@ -41,8 +41,9 @@
     heard: Point,
     /// By driver: when its late execution was sent, and when it said so.
     late: BTreeMap<Key, (Point, Point)>,
-    /// Until when it was last taken for silent.
+    /// Until when it was last taken for silent, and what was last said of that.
     until: Point,
+    told: Point,
 }
 
 #[derive(Clone, Debug)]
@@ -124,7 +125,7 @@
             return None;
         }
         // Each driver's own part of the trial time, by hash: they come back one after the other.
-        let draw = xxh3_64_with_seed(member.as_bytes(), own ^ now.0 / 1_000_000) >> 11;
+        let draw = xxh3_64_with_seed(member.as_bytes(), own ^ (now.0 / 1_000_000)) >> 11;
         let part = draw as f64 / (1u64 << 53) as f64;
         known.until = now + terms.trial * (1.0 + part);
         // The same words prove nothing a second time.
@@ -132,13 +133,25 @@
         Some(known.until)
     }
 
-    /// Members that somebody has late executions at, or that are taken for silent.
-    pub fn doubted(&self) -> Vec<String> {
+    /// Members of which something else holds than was last said here: until when they are silent, zero where they no longer
+    /// are.
+    pub fn news(&mut self, now: Point) -> Vec<(String, Point)> {
         let doubted = self
             .members
             .iter()
-            .filter(|(_, k)| !k.late.is_empty() || k.until > Point(0));
-        doubted.map(|(name, _)| name.clone()).collect()
+            .filter(|(_, k)| !k.late.is_empty() || k.told > Point(0));
+        let names: Vec<String> = doubted.map(|(name, _)| name.clone()).collect();
+        let mut news = Vec::new();
+        for name in names {
+            let until = self.until(now, &name).unwrap_or(Point(0));
+            let Some(known) = self.members.get_mut(&name) else {
+                continue;
+            };
+            if std::mem::replace(&mut known.told, until) != until {
+                news.push((name, until));
+            }
+        }
+        news
     }
 
     /// Lets go what is known of members that nothing is owed by.
@@ -146,7 +159,7 @@
         let terms = self.terms;
         self.members.retain(|_, k| {
             k.late.retain(|_, (_, said)| now - *said < terms.fresh);
-            !k.late.is_empty() || k.until > now || now - k.heard < terms.fresh * 10.0
+            !k.late.is_empty() || k.told > Point(0) || now - k.heard < terms.fresh * 10.0
         });
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 //! order, again and again, until none fires.
 
 use crate::fleet::{self, Fleet, Zones};
-use crate::health::{GOOD_PACE, NEWEST, OVERDUE, OVERDUE_PACES};
+use crate::health::{DEAR, GOOD_PACE, LATE_COUNTS, NEWEST, OVERDUE, OVERDUE_PACES};
 use crate::interface::Ending::*;
 use crate::interface::*;
 use crate::state::*;
@@ -21,15 +21,9 @@
 const UNSENT: f64 = 0.45;
 /// Before another try where the same members are all there is.
 const RETRY: Span = Span::millis(50);
-/// What a late execution counts at most: a few stuck ones don't make a member crowded.
-const LATE_COUNTS: f64 = 0.8;
 /// Answers of a member in the rule's window under which a driver can't tell what that one bears and lets in
 /// a share of statements instead.
 const SPARSE: usize = 5;
-/// Mean share let in at a group under which its failures are taken for common ones.
-const COMMON: f64 = 0.5;
-/// New connections are spared while setting them up takes this part of the SLO time more than usual.
-const DEAR: f64 = 0.15;
 /// Part of what the best of a group lets in from which on a driver stays with its own replica.
 const LOYAL: f64 = 0.7;
 /// Sessions whose last commit is remembered where it isn't carried.
@@ -153,6 +147,7 @@
         match word {
             Told::Open(count) => f.elsewhere[m] = count,
             Told::Cold { work, until } => f.allowed[m] = Some((work, until)),
+            Told::Silent(until) => f.quiet_until[m] = until,
             Told::Said(ago, s) => self.learn_sighting(m, ago, ago, s),
             Told::Drains(started) if f.started[m] <= started && f.standing[m] == Standing::Ready => {
                 (f.standing[m], f.drained[m]) = (Standing::Draining, true);
@@ -179,11 +174,18 @@
         self.typical[workload]
     }
 
-    /// Drivers that are there beside this one, by keys alike for all of them.
-    pub fn peers_told(&mut self, own: u64, others: &BTreeSet<u64>) -> bool {
+    /// Drivers that are there beside this one, by keys alike for all of them, and how many count in all.
+    pub fn peers_told(&mut self, own: u64, others: &BTreeSet<u64>, count: u32) -> bool {
+        self.fleet = Fleet::of(count);
         self.firsts.among(own, others)
     }
 
+    /// Whether probes of a member are wanted, now or later.
+    pub fn wants_probe(&self, member: u32) -> bool {
+        let known = self.members.index.get(&member);
+        known.is_some_and(|m| self.probe_due(*m).is_some())
+    }
+
     /// Where a session's last write was committed that another driver carried.
     pub fn session_told(&mut self, session: u64, position: Point) {
         self.sessions.note(session, position, SESSIONS_KEPT);
@@ -401,7 +403,7 @@
         let answered = matches!(end.ending, Completed | Missed | Errored | TurnedAway);
         if answered {
             self.zones.hear(f.zone[m], now);
-            (f.owes_since[m], f.shunned[m]) = (now, false);
+            (f.owes_since[m], f.shunned[m], f.quiet_until[m]) = (now, false, Point(0));
         } else if end.ending != NeverSent {
             f.connections[m] = f.connections[m].saturating_sub(1);
         }
@@ -422,23 +424,7 @@
         }
         let took = end.took.ratio(slo_time).min(LATE_COUNTS);
         let timed = self.stalled_at < now && matches!(end.ending, Completed | TimedOut | Cancelled);
-        if timed {
-            f.pace[m] += NEWEST * (took - f.pace[m]);
-        }
-        // Failures that all share are no reason to shut the group: its members must be let in on the mean.
-        let g = &self.groups[f.group[m]];
-        let beyond = |n: &usize| f.let_in[*n].min(1.0) - COMMON;
-        let alone = || g.members.iter().map(beyond).sum::<f64>() > 0.0;
-        let share = match end.ending {
-            Errored | TurnedAway if alone() => Some(1.0),
-            Completed if !sparse => Some(0.0),
-            _ => Some(took).filter(|_| sparse && timed),
-        };
-        if let Some(share) = share {
-            let follow =
-                |n: &&usize| sparse && timed && **n != m && ![Some(m), Some(**n)].contains(&g.primary);
-            f.pull(m, g.members.iter().filter(follow), share, sparse);
-        }
+        f.judge(m, &self.groups[f.group[m]], end.ending, took, timed, sparse);
         f.bound(m, now, end.ending == Completed, *typical, sparse);
     }
 
@@ -512,6 +498,11 @@
 
     /// Behind a cut each member is met too rarely to be found out alone: what is silent may be the zone.
     fn is_quiet(&self, m: usize) -> bool {
+        self.is_left(m) || self.sparse() && self.members.quiet_until[m] > self.now
+    }
+
+    /// Its zone is.
+    fn is_left(&self, m: usize) -> bool {
         let (of, zones, longest) = (&self.members.zone, &self.zones, self.longest_typical());
         let out = self.running.values().filter(|r| of[r.member] == of[m]);
         self.sparse() && zones.is_silent(of[m], &mut out.map(|r| r.sent), self.now, longest)
@@ -532,7 +523,10 @@
         };
         let acts = self.settings.cancel_allowed && self.sparse();
         let found = acts.then(|| self.running.iter().find_map(leaves)).flatten();
-        found.inspect(|(_, m)| self.zones.leave(self.members.zone[*m], self.now));
+        let zone = found
+            .filter(|(_, m)| self.is_left(*m))
+            .map(|(_, m)| self.members.zone[m]);
+        zone.inspect(|z| self.zones.leave(*z, self.now));
         found.inspect(|(id, _)| self.call_off(*id)).is_some()
     }
 
@@ -788,7 +782,7 @@
         f.cold_until(m, self.now, self.carried(m) * warmth * used)
     }
 
-    fn longest_typical(&self) -> Span {
+    pub fn longest_typical(&self) -> Span {
         self.typical.iter().copied().max().unwrap_or(OVERDUE)
     }
 
--- a/src/health.rs
+++ b/src/health.rs
@@ -1,8 +1,8 @@
 //! What a driver makes of a member's answers: how many executions at once it is known to bear, and the
 //! share of statements that it is let in, what a cold one may be sent. Nothing here chooses.
 
-use crate::interface::Settings;
-use crate::state::Members;
+use crate::interface::{Ending, Settings};
+use crate::state::{Group, Members};
 use crate::time::{Point, Span};
 
 /// Bounds on concurrency: mean time of answers to the SLO time.
@@ -13,6 +13,12 @@
 /// A member owing answers for this long is overdue (the design's start); less where it owes many.
 pub const OVERDUE: Span = Span::millis(1000);
 pub const OVERDUE_PACES: f64 = 4.0;
+/// What a late execution counts at most: a few stuck ones don't make a member crowded.
+pub const LATE_COUNTS: f64 = 0.8;
+/// Mean share let in at a group under which its failures are taken for common ones.
+const COMMON: f64 = 0.5;
+/// New connections are spared while setting them up takes this part of the SLO time more than usual.
+pub const DEAR: f64 = 0.15;
 /// Share of what a member has borne in good time that a bound keeps: slowness is not always crowding.
 const SEEN_TO_WORK: f64 = 0.3;
 /// How far an answer pulls the share of statements that its member is let in, from which part of the SLO time, and the
@@ -66,6 +72,26 @@
         (self.open[m] > 0).then(|| self.owes_since[m] + patience.min(OVERDUE))
     }
 
+    /// What an end says of its member: `took` is the part of its SLO time that it took, `timed` whether that counts.
+    pub fn judge(&mut self, m: usize, group: &Group, ending: Ending, took: f64, timed: bool, sparse: bool) {
+        if timed {
+            self.pace[m] += NEWEST * (took - self.pace[m]);
+        }
+        // Failures that all share are no reason to shut the group: its members must be let in on the mean.
+        let beyond = |n: &usize| self.let_in[*n].min(1.0) - COMMON;
+        let alone = || group.members.iter().map(beyond).sum::<f64>() > 0.0;
+        let share = match ending {
+            Ending::Errored | Ending::TurnedAway if alone() => Some(1.0),
+            Ending::Completed if !sparse => Some(0.0),
+            _ => Some(took).filter(|_| sparse && timed),
+        };
+        if let Some(share) = share {
+            let primary = group.primary;
+            let follow = |n: &&usize| sparse && timed && **n != m && ![Some(m), Some(**n)].contains(&primary);
+            self.pull(m, group.members.iter().filter(follow), share, sparse);
+        }
+    }
+
     /// Between the least of a member that has just started and 1.
     pub fn warmth(&self, m: usize, now: Point, settings: &Settings) -> f64 {
         let cold = settings.cold_share;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -117,6 +117,8 @@
     Said(Span, Sighting),
     /// So much work this driver may send it while it is cold, until then: what all others send is known.
     Cold { work: Span, until: Point },
+    /// Several drivers have late executions there, and nobody has heard from it since: until then it is silent.
+    Silent(Point),
 }
 
 /// How an execution ended.
--- a/src/state.rs
+++ b/src/state.rs
@@ -304,6 +304,8 @@
     standing: Standing = Standing::Ready;
     drained: bool = false;
     size: f64 = 1.0;
+    // Taken for silent until then, by other drivers' word.
+    quiet_until: Point = Point(0);
     started: Option<Point> = None;
     // The known log position, and when it was told.
     position: Point = Point(0);
