What a start trusts of a kept copy, rule by rule; asterlatch recover says so beforehand

Need: after a power loss a driver has nobody to ask, and operators could not see what its disk is good for. Change: crates/recovery, an ordered list of rules by kind, time passed and clock, with a reason each; every start goes by it, and recover FOLDER prints it (table, JSON) without writing. Turns, late executions and shares are no longer written: they end with the life that says them.

--- a/crates/driver/src/main.rs
+++ b/crates/driver/src/main.rs
@@ -2,7 +2,7 @@
 
 use asterlatch_driver::program::config::{self, Config};
 use asterlatch_driver::program::log::{self, Format};
-use asterlatch_driver::program::{commands, operators, serve, sharing, upgrade};
+use asterlatch_driver::program::{commands, operators, recover, serve, sharing, upgrade};
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -80,6 +80,17 @@
         #[arg(long)]
         json: bool,
     },
+    /// Read what a driver has kept, and say what its next start would trust of that, and why; nothing is changed
+    Recover {
+        /// The folder that `serve --state` was given
+        folder: PathBuf,
+        /// Of this driver; else of whom the copy says it is
+        #[arg(long)]
+        name: Option<String>,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Print the version
     Version,
 }
@@ -118,6 +129,7 @@
             Ok(false) => return ExitCode::FAILURE,
             Err(fault) => Err(fault),
         },
+        Command::Recover { folder, name, json } => recover::run(&folder, name.as_deref(), json),
         Command::Version => {
             println!("asterlatch {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/driver/src/program/mod.rs
+++ b/crates/driver/src/program/mod.rs
@@ -8,6 +8,7 @@
 pub mod log;
 pub mod operators;
 pub mod phases;
+pub mod recover;
 pub mod serve;
 pub mod sharing;
 pub mod signals;
--- /dev/null
+++ b/crates/driver/src/program/recover.rs
@@ -0,0 +1,46 @@
+//! `asterlatch recover`: reads what a driver has kept, and says what its next start would trust of that, and why. Nothing is
+//! written, and no service is asked.
+
+use super::keeping;
+use super::sharing::table;
+use crate::transport::clock::Clock;
+use asterlatch_recovery::report::{self, Report};
+use asterlatch_shared::keep::{self, Fault};
+use serde_json::{json, Value};
+use std::path::Path;
+
+/// What a start on this folder would make of it, for the driver of this name, or for whoever the copy says it is.
+fn look(folder: &Path, name: Option<&str>, clock: &Clock) -> Result<(Value, Report), String> {
+    let bytes =
+        keeping::read(folder)?.ok_or_else(|| format!("{}: nothing was ever kept there", folder.display()))?;
+    let whose = keep::whose(&bytes);
+    let (fleet, own, life) = whose.clone().unwrap_or_default();
+    let read = keep::read(&bytes, &fleet, name.unwrap_or(&own));
+    let nothing_used = !matches!(
+        read.fault,
+        None | Some(Fault::Torn { .. } | Fault::Flipped { .. })
+    );
+    let (_, report) = report::sort(read.facts, clock.now());
+    let copy = json!({
+        "of": whose.map(|(_, name, _)| name), "life": life, "bytes": bytes.len(),
+        "fault": read.fault.map(|f| f.says()), "facts": report.facts, "of_use": report.used,
+        "nothing_used": nothing_used, "from_the_future": report.from_the_future,
+    });
+    Ok((copy, report))
+}
+
+/// Prints it; an error is a folder that can't be read or holds nothing.
+pub fn run(folder: &Path, name: Option<&str>, as_json: bool) -> Result<(), String> {
+    let (copy, report) = look(folder, name, &Clock::start())?;
+    let rows = serde_json::to_value(&report.rows).map_err(|e| e.to_string())?;
+    let all = json!({ "copy": [copy], "kept": rows });
+    if as_json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?
+        );
+    } else {
+        print!("{}{}\n", table(&all), report.line());
+    }
+    Ok(())
+}
--- a/crates/driver/src/program/sharing.rs
+++ b/crates/driver/src/program/sharing.rs
@@ -11,6 +11,7 @@
 use asterlatch::time::{Point, Span};
 use asterlatch_config::host::{drivers, Other};
 use asterlatch_config::meaning::{hash, Meaning};
+use asterlatch_recovery::report;
 use asterlatch_shared::book::Book;
 use asterlatch_shared::engine::{shown, Engine, Input, Output, Settings};
 use asterlatch_shared::fact::Fact;
@@ -243,14 +244,10 @@
 
 /// Begins with what was kept, as far as it is of use still; what is to be told of that.
 fn take_over(engine: &mut Engine, former: Former, now: Point, keeps: bool) -> Vec<String> {
-    let count = former.facts.len();
-    let facts = former.facts.into_iter();
-    let used: Vec<_> = facts
-        .filter_map(|(fact, wall)| keep::age(&fact, wall, now).map(|age| (fact, age)))
-        .collect();
+    let (used, report) = report::sort(former.facts, now);
     let mut lines: Vec<String> = former.fault.into_iter().collect();
     if keeps {
-        lines.push(format!("{} of {count} kept facts are of use still", used.len()));
+        lines.push(report.line());
     }
     // Nobody is there to be told of it yet: what comes out is for the owner alone, which hears it with the first news.
     for (fact, age) in used {
@@ -313,7 +310,8 @@
                 let (head, writer) =
                     keep::Writer::begin(&settings.fleet, &settings.name, engine.peers.own().life);
                 self.writer = Some(writer);
-                let all = engine.book.all().map(|e| (e.fact.clone(), e.told));
+                let all = engine.book.all().filter(|e| e.fact.kind().outlives());
+                let all = all.map(|e| (e.fact.clone(), e.told));
                 (Wish::Whole, head, all.collect())
             }
         };
@@ -531,7 +529,7 @@
 }
 
 /// Each list of rows with its columns in one line each.
-fn table(value: &Value) -> String {
+pub fn table(value: &Value) -> String {
     let mut text = String::new();
     for (name, rows) in value.as_object().into_iter().flatten() {
         let rows: Vec<_> = rows
--- a/crates/driver/tests/kept.rs
+++ b/crates/driver/tests/kept.rs
@@ -260,3 +260,64 @@
         "{said}"
     );
 }
+
+/// A look at the disk before a start says what the start then says, changes nothing, and names what is wrong.
+#[test]
+fn a_dry_run_says_what_a_start_would_trust() {
+    let recover = |folder: &str, more: &[&str]| {
+        let arguments = [&["recover", folder, "--json"][..], more].concat();
+        let output = Command::new(env!("CARGO_BIN_EXE_asterlatch"))
+            .args(arguments)
+            .output()
+            .expect("runs");
+        (output.status.success(), output)
+    };
+    let stage = Stage::new("dry", None);
+    assert_eq!(stage.ask(1), "T D C Z");
+    stage.await_kept(2);
+    let state = stage.folder.path("state");
+    let mut before = Vec::new();
+    let stage = stage.again("dry-2", |bytes| {
+        bytes.truncate(bytes.len() - 3);
+        before = bytes.clone();
+        std::fs::create_dir_all(format!("{state}-copy")).expect("is made");
+        std::fs::write(format!("{state}-copy/shared.log"), &bytes).expect("is written");
+    });
+    let line = stage.operated.told("kept facts are of use still");
+    let copy = format!("{state}-copy");
+    let (fine, output) = recover(&copy, &[]);
+    let said: serde_json::Value = serde_json::from_slice(&output.stdout).expect("is JSON");
+    let one = &said["copy"][0];
+    assert!(fine && one["of"] == "t" && one["nothing_used"] == false, "{said}");
+    assert!(
+        one["fault"]
+            .as_str()
+            .is_some_and(|f| f.contains("ends in the middle")),
+        "{said}"
+    );
+    let counts = format!("{} of {} kept facts", one["of_use"], one["facts"]);
+    assert!(line.contains(&counts), "{line}: {counts}");
+    let rows = said["kept"].as_array().expect("has rows");
+    assert!(
+        rows.iter()
+            .any(|r| r["kind"] == "member" && r["used"] == "after the member's own word"),
+        "{said}"
+    );
+    assert_eq!(
+        std::fs::read(format!("{copy}/shared.log")).expect("is there"),
+        before,
+        "it only looks"
+    );
+    // Somebody else's, and nothing at all.
+    let (_, output) = recover(&copy, &["--name", "other"]);
+    let said: serde_json::Value = serde_json::from_slice(&output.stdout).expect("is JSON");
+    assert_eq!(
+        (&said["copy"][0]["nothing_used"], &said["copy"][0]["of_use"]),
+        (&true.into(), &0.into())
+    );
+    let (fine, output) = recover("/nowhere", &[]);
+    assert!(
+        !fine && String::from_utf8_lossy(&output.stderr).contains("/nowhere: nothing was ever kept there")
+    );
+    let _ = std::fs::remove_dir_all(copy);
+}
--- /dev/null
+++ b/crates/recovery/tests/trust.rs
@@ -0,0 +1,186 @@
+//! What is trusted of what was kept: every kind, by how long ago it was and whether the clock can be believed.
+
+use asterlatch::time::{Point, Span};
+use asterlatch_recovery::report::sort;
+use asterlatch_recovery::trust::{trust, Use};
+use asterlatch_shared::fact::{Fact, Standing, KINDS};
+use asterlatch_turns::lease::{Claim, End};
+
+const NOW: Point = Point(1_700_000_000_000_000);
+
+fn facts() -> Vec<Fact> {
+    let name = || "m".to_owned();
+    let drain = |standing| Fact::Drain {
+        name: name(),
+        started_ms: 5,
+        list: 3,
+        standing,
+    };
+    vec![
+        drain(Standing::Draining),
+        drain(Standing::Gone),
+        drain(Standing::Ready),
+        Fact::Session {
+            session: 4,
+            position: 9,
+        },
+        Fact::Cold {
+            member: name(),
+            started_ms: 5,
+            driver: "d".to_owned(),
+            life: 1,
+            said: 1,
+            work_us: 1,
+            carries_us: 1,
+        },
+        Fact::Member {
+            name: name(),
+            started_ms: 5,
+            group: 1,
+            position: 7,
+            primary_at: 7,
+            replica_at: 0,
+        },
+        Fact::Driver {
+            name: name(),
+            life: 1,
+            said: 1,
+            list: 1,
+            file: 1,
+            caught_up: true,
+        },
+        Fact::Turn {
+            subject: "probe m".to_owned(),
+            claim: Claim {
+                term: 1,
+                holder: 2,
+                life: 3,
+                said: 4,
+                end: End::Holds,
+            },
+        },
+        Fact::Late {
+            member: name(),
+            driver: "d".to_owned(),
+            life: 1,
+            said: 1,
+            before_us: 1,
+        },
+        Fact::Load {
+            driver: "d".to_owned(),
+            life: 1,
+            said: 1,
+            shares: vec![(1, 2, 3)],
+        },
+    ]
+}
+
+#[test]
+fn each_kind_by_how_long_ago_it_was() {
+    use Use::*;
+    // By fact as above: a second ago, ten minutes ago, a month ago, and with a clock that went back.
+    let table: [[Use; 4]; 10] = [
+        [AtOnce, Never, Never, AtOnce],
+        [AtOnce, Never, Never, AtOnce],
+        [Never; 4],
+        [Bound, Never, Never, Bound],
+        [AtOnce, Never, Never, AtOnce],
+        [AfterMember, Never, Never, Never],
+        [Never; 4],
+        [Never; 4],
+        [Never; 4],
+        [Never; 4],
+    ];
+    let all = facts();
+    assert!(
+        KINDS.iter().all(|k| all.iter().any(|f| f.kind() == *k)),
+        "every kind has its rows"
+    );
+    for (fact, row) in all.iter().zip(table) {
+        let times = [
+            NOW - Span::millis(1000),
+            NOW - Span::millis(600_000),
+            NOW - Span::millis(30 * 86_400_000),
+            NOW + Span::millis(1),
+        ];
+        for (wall, used) in times.into_iter().zip(row) {
+            let verdict = trust(fact, wall, NOW);
+            assert_eq!(verdict.used, used, "{fact:?} {wall:?}: {}", verdict.why);
+            assert_eq!(verdict.age.is_some(), used != Never, "{fact:?}");
+        }
+    }
+}
+
+/// A clock that went back makes nothing young that was not, but what binds counts as told just now; one in 1970 is one
+/// that went back.
+#[test]
+fn a_clock_that_went_back_is_the_worse_case() {
+    for now in [NOW - Span::millis(60_000), Point(0), Point(86_400_000_000)] {
+        for fact in facts() {
+            let verdict = trust(&fact, NOW, now);
+            assert!(
+                matches!(verdict.age, None | Some(Span(0))),
+                "{fact:?} {verdict:?}"
+            );
+            assert_ne!(verdict.used, Use::AfterMember, "{fact:?}");
+        }
+    }
+    // A day ahead: all that ages is over, and no rule is broken by it but drains that discovery tells again.
+    let ahead = NOW + Span::millis(86_400_000);
+    assert!(facts().iter().all(|f| trust(f, NOW, ahead).used == Use::Never));
+}
+
+/// (fact, written so long before now; how old it counts)
+#[test]
+fn time_that_passed_unknown_counts_as_is_worse() {
+    let month = Span::millis(30 * 24 * 3600 * 1000);
+    let hour = Span::millis(3600 * 1000);
+    let second = Span::millis(1000);
+    let now = NOW;
+    let all = facts();
+    let (m, d, s) = (&all[5], &all[0], &all[3]);
+    #[rustfmt::skip]
+    let table = [
+        (m, now - second, Some(second)),
+        (m, now - hour, None),
+        (d, now - hour, None),
+        (s, now - second, Some(second)),
+        (s, now - month, None),
+        // The clock was set back since: nobody knows how long ago that was.
+        (m, now + hour, None),
+        (d, now + hour, Some(Span(0))),
+        (s, now + month, Some(Span(0))),
+    ];
+    for (fact, wall, counts) in table {
+        assert_eq!(trust(fact, wall, now).age, counts, "{fact:?} {wall:?}");
+    }
+}
+
+#[test]
+fn the_report_counts_every_fact_once() {
+    let all = facts();
+    let walls = [
+        NOW - Span::millis(1000),
+        NOW - Span::millis(3000),
+        NOW + Span::millis(5),
+    ];
+    let kept: Vec<_> = all.iter().flat_map(|f| walls.map(|w| (f.clone(), w))).collect();
+    let (usable, report) = sort(kept.clone(), NOW);
+    assert_eq!((report.facts, report.from_the_future), (kept.len(), all.len()));
+    assert_eq!(report.rows.iter().map(|r| r.facts).sum::<usize>(), kept.len());
+    assert_eq!(usable.len(), report.used);
+    let drains = report
+        .rows
+        .iter()
+        .find(|r| r.kind == "drain" && r.used == "at once")
+        .expect("is there");
+    assert_eq!(
+        (drains.facts, drains.youngest_ms, drains.oldest_ms),
+        (6, Some(1000), Some(3000))
+    );
+    assert!(report.line().ends_with("the clock was set"), "{}", report.line());
+    assert_eq!(
+        sort(Vec::new(), NOW).1.line(),
+        "0 of 0 kept facts are of use still"
+    );
+}
--- a/crates/shared/src/engine.rs
+++ b/crates/shared/src/engine.rs
@@ -356,7 +356,9 @@
             Learned::Nothing => {}
             Learned::Refused => self.counts.facts_refused += 1,
             Learned::More => {
-                if self.changed.len() < MOST_CHANGED {
+                if !key.0.outlives() {
+                    // It is nothing to who keeps a copy.
+                } else if self.changed.len() < MOST_CHANGED {
                     self.changed.insert(key.clone());
                 } else {
                     self.uncounted = true;
--- a/crates/shared/src/fact.rs
+++ b/crates/shared/src/fact.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Whether it is of any use to a later life of its driver, so that it is kept on a disk.
+    pub fn outlives(self) -> bool {
+        !matches!(self, Kind::Turn | Kind::Late | Kind::Load)
+    }
+
     /// What was told longer ago is let go, and not taken from others either.
     pub fn kept(self) -> Span {
         match self {
--- a/crates/shared/src/keep.rs
+++ b/crates/shared/src/keep.rs
@@ -3,7 +3,7 @@
 //! whole before it is used. And when it is written: in groups, never by who answers statements, and where the disk fails,
 //! not at all until it doesn't any more; then whole, since nobody knows what it holds.
 
-use crate::fact::{Fact, Kind};
+use crate::fact::Fact;
 use asterlatch::time::{Point, Span};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -174,19 +174,15 @@
     Ok(())
 }
 
-/// How old a kept fact is now by the wall clock; nothing where it isn't to be used. A clock that stands before the time
-/// that was written has been set: how long ago that was nobody knows, and each kind is taken as is worse for its rule.
-pub fn age(fact: &Fact, wall: Point, now: Point) -> Option<Span> {
-    if wall <= now {
-        return Some(now - wall).filter(|age| *age < fact.kind().kept());
-    }
-    match fact.kind() {
-        // A drain binds, a session's write must be seen, what a cold member bore counts, as if told just now.
-        Kind::Drain | Kind::Session | Kind::Cold => Some(Span(0)),
-        // How far a member was an unknown time ago proves nothing.
-        // Turns and late executions of a former life are nobody's any more.
-        Kind::Member | Kind::Driver | Kind::Turn | Kind::Late | Kind::Load => None,
-    }
+/// Of which fleet and driver a copy says it is, and of which life; nothing where its head can't be read.
+pub fn whose(bytes: &[u8]) -> Option<(String, String, u64)> {
+    let bytes_at = MAGIC.len() + 2;
+    let version = bytes.strip_prefix(MAGIC)?.first_chunk::<2>()?;
+    let (body, ..) = next(bytes, bytes_at, 0)
+        .ok()
+        .filter(|_| u16::from_be_bytes(*version) == VERSION)?;
+    let head: Head = postcard::from_bytes(body).ok()?;
+    Some((head.fleet, head.name, head.life))
 }
 
 /// What the keeper wants done; one at a time.
--- a/crates/shared/tests/keep.rs
+++ b/crates/shared/tests/keep.rs
@@ -4,7 +4,7 @@
 mod common;
 use asterlatch::time::{Point, Span};
 use asterlatch_shared::fact::{Fact, Standing};
-use asterlatch_shared::keep::{age, read, Fault, Keeper, Told, Wish, Writer};
+use asterlatch_shared::keep::{read, Fault, Keeper, Told, Wish, Writer};
 use common::{drain, member, session};
 
 const NOW: Point = Point(5_000_000_000);
@@ -110,35 +110,6 @@
     assert_eq!(read(&bytes, "g", "d1").fault, Some(Fault::OtherFleet));
 }
 
-/// (fact, written so long before now; how old it counts)
-#[test]
-fn time_that_passed_unknown_counts_as_is_worse() {
-    let month = Span::millis(30 * 24 * 3600 * 1000);
-    let hour = Span::millis(3600 * 1000);
-    let second = Span::millis(1000);
-    let now = NOW + month + month;
-    let (m, d, s) = (
-        member("m", 5, 0, 5),
-        drain("m", 1, Standing::Draining),
-        session(1, 5),
-    );
-    #[rustfmt::skip]
-    let table = [
-        (&m, now - second, Some(second)),
-        (&m, now - hour, None),
-        (&d, now - hour, None),
-        (&s, now - second, Some(second)),
-        (&s, now - month, None),
-        // The clock was set back since: nobody knows how long ago that was.
-        (&m, now + hour, None),
-        (&d, now + hour, Some(Span(0))),
-        (&s, now + month, Some(Span(0))),
-    ];
-    for (fact, wall, counts) in table {
-        assert_eq!(age(fact, wall, now), counts, "{fact:?} {wall:?}");
-    }
-}
-
 #[test]
 fn a_disk_that_fails_is_tried_again_ever_more_rarely_and_then_written_whole() {
     let every = Span::millis(1000);
