--- a/crates/driver/src/program/recover.rs
+++ b/crates/driver/src/program/recover.rs
@@ -40,7 +40,7 @@
             serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?
         );
     } else {
-        print!("{}{}\n", table(&all), report.line());
+        println!("{}{}", table(&all), report.line());
     }
     Ok(())
 }
