A play's stand-ins end with it: a trial of hundreds in one process stays as quick as its first

Checked and ruled out: load on the machine (the same plays hold while it compiles). Cause: members' and discovery's listeners never ended, 14 threads a play, and each fork that begins a driver copies the page tables of thousands of stacks, which stops clients and members for that long.

Now the listeners end with their play.

--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -47,6 +47,9 @@
     let (store, addresses) = (store.clone(), addresses.clone());
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if lock(&store).is_over {
+                return;
+            }
             let (store, addresses) = (store.clone(), addresses.clone());
             thread::spawn(move || drop(answer(stream, &store, &addresses, driver)));
         }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -16,7 +16,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::fs::File;
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -59,6 +59,8 @@
     /// What befell whom, as it came to be.
     pub outages: Vec<(u32, Point, Point)>,
     _links: Vec<Link>,
+    /// Where members and discovery listen.
+    listeners: Vec<SocketAddr>,
 }
 
 /// Fleets that this process has put up.
@@ -104,10 +106,12 @@
             processes: Vec::new(),
             outages: Vec::new(),
             _links: links,
+            listeners: addresses.values().copied().collect(),
         };
         for number in 1..=plan.drivers {
             let listen = TcpListener::bind(host(play, number))?.local_addr()?;
             let discovery = discovery::start(&fleet.store, &addresses, number)?;
+            fleet.listeners.push(discovery);
             let known = discovery::listed(&fleet.store, &addresses);
             let name = format!("d{number}");
             let config = described(&fleet.store, (&name, listen, discovery), known, plan.drivers);
@@ -364,6 +368,11 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
+        // Or hundreds of plays in one process leave thousands of threads, and each fork copies what they hold.
+        lock(&self.store).is_over = true;
+        for listener in &self.listeners {
+            let _ = TcpStream::connect(listener);
+        }
         for p in &mut self.processes {
             if let Some(mut child) = p.child.take() {
                 let _ = child.kill();
--- a/crates/lab/src/member.rs
+++ b/crates/lab/src/member.rs
@@ -26,6 +26,9 @@
     let store = store.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if lock(&store).is_over {
+                return;
+            }
             let store = store.clone();
             // A connection that breaks ends its thread, and says nothing to anybody.
             thread::spawn(move || drop(speak(stream, &store, member)));
--- a/crates/lab/src/store.rs
+++ b/crates/lab/src/store.rs
@@ -99,6 +99,8 @@
 pub struct Store {
     pub script: Script,
     pub started: Point,
+    /// Who listens for it ends at the next connection.
+    pub is_over: bool,
     pub workloads: Vec<Workload>,
     groups: u32,
     replicas: u32,
@@ -129,6 +131,7 @@
         Store {
             script,
             started,
+            is_over: false,
             workloads: workloads(),
             groups,
             replicas,
