--- a/Makefile
+++ b/Makefile
@@ -46,9 +46,10 @@
 trial-faults:
 	SEED="$(SEED)" cargo test -p asterlatch-driver --release --locked --test upgrade -- --ignored --nocapture kills
 
-# All scenes of several processes with faults between them, six seeds each.
+# All scenes of several processes with faults between them, fifty seeds each: half an hour on six cores.
+SEEDS ?= 50
 trial-fleet: build
-	target/release/asterlatch-lab trial-fleet --seeds 6
+	target/release/asterlatch-lab trial-fleet --seeds $(SEEDS) --jobs 6 --seconds 5
 
 # Costs of word between drivers by size, in virtual time.
 measure-shared:
