Shares are told in sparse views alone, where they count

Observed: word between drivers grew from 24,687 to 32,879 bytes a driver and second with five processes, 53,318 to 100,788 with twenty, though in their dense views shares move nothing.

--- a/crates/driver/src/routing/owner/turns.rs
+++ b/crates/driver/src/routing/owner/turns.rs
@@ -47,8 +47,11 @@
             .filter_map(|(name, until)| Some((members.find(&name)?, until)))
             .collect();
         sharing.turns.silence.age(now);
+        // In dense views each knows enough by itself, and nothing is told.
+        let sparse = module.sparse();
         let shares = module
             .shares()
+            .filter(|_| sparse)
             .filter_map(|(m, share)| Some((members.name(m)?.to_owned(), share)));
         let (load, drawn) = sharing.turns.loads(now, &shares.collect::<Vec<_>>());
         facts.extend(load.map(|fact| (fact, Span(0))));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -698,7 +698,7 @@
         None
     }
 
-    fn sparse(&self) -> bool {
+    pub fn sparse(&self) -> bool {
         self.borne.entries.len() < SPARSE * self.members.index.len()
     }
 
