--- a/crates/driver/src/program/recover.rs
+++ b/crates/driver/src/program/recover.rs
@@ -2,7 +2,7 @@
 //! written, and no service is asked.
 
 use super::keeping;
-use super::sharing::table;
+use super::sharing::written;
 use crate::transport::clock::Clock;
 use asterlatch_recovery::report::{self, Report};
 use asterlatch_shared::keep::{self, Fault};
@@ -34,13 +34,9 @@
     let (copy, report) = look(folder, name, &Clock::start())?;
     let rows = serde_json::to_value(&report.rows).map_err(|e| e.to_string())?;
     let all = json!({ "copy": [copy], "kept": rows });
-    if as_json {
-        println!(
-            "{}",
-            serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?
-        );
-    } else {
-        println!("{}{}", table(&all), report.line());
+    print!("{}", written(&all, as_json));
+    if !as_json {
+        println!("{}", report.line());
     }
     Ok(())
 }
--- a/crates/driver/src/program/sharing.rs
+++ b/crates/driver/src/program/sharing.rs
@@ -421,10 +421,7 @@
             What::Facts => self.facts(now),
             What::Differences => self.differences(now),
         };
-        let text = match show.json {
-            true => serde_json::to_string_pretty(&value).unwrap_or_default() + "\n",
-            false => table(&value),
-        };
+        let text = written(&value, show.json);
         // Who doesn't read holds this thread up for no more than a moment.
         let mut reply = show.reply;
         let _ = reply.set_write_timeout(Some(Duration::from_millis(200)));
@@ -528,8 +525,16 @@
     }
 }
 
+/// As programs or as people read it.
+pub fn written(value: &Value, as_json: bool) -> String {
+    match as_json {
+        true => serde_json::to_string_pretty(value).unwrap_or_default() + "\n",
+        false => table(value),
+    }
+}
+
 /// Each list of rows with its columns in one line each.
-pub fn table(value: &Value) -> String {
+fn table(value: &Value) -> String {
     let mut text = String::new();
     for (name, rows) in value.as_object().into_iter().flatten() {
         let rows: Vec<_> = rows
--- a/crates/driver/src/routing/turns.rs
+++ b/crates/driver/src/routing/turns.rs
@@ -29,12 +29,8 @@
     name: String,
     life: u64,
     said: u64,
-    /// How many count, as the module was last told.
-    pub count: u32,
     /// Members whose probes the module wants, by name, and when this driver last asked each for all.
     wanted: BTreeMap<String, Point>,
-    /// Members that this driver has told of late executions at.
-    late: BTreeSet<String>,
 }
 
 /// Of a turn that is for asking a lost member whether it is back.
@@ -60,17 +56,14 @@
             name,
             life,
             said: 0,
-            count: all,
             wanted: BTreeMap::new(),
-            late: BTreeSet::new(),
         }
     }
 
     /// Others that are there; how many count by now.
     pub fn there(&mut self, now: Point, others: &BTreeSet<Key>) -> u32 {
         self.leases.there(others);
-        self.count = self.size.reach(now, others.len() as u32 + 1);
-        self.count
+        self.size.reach(now, others.len() as u32 + 1)
     }
 
     /// The module wants a member probed. Whether this driver may: who has nobody beside it always may.
@@ -78,12 +71,13 @@
         if alone {
             return true;
         }
-        self.leases.want(now, &subject(member));
-        self.wanted.entry(member.to_owned()).or_insert(Point(0));
-        matches!(
-            self.leases.stand(now, &subject(member)),
-            Stand::Mine | Stand::Done
-        )
+        let subject = subject(member);
+        self.leases.want(now, &subject);
+        let may = matches!(self.leases.stand(now, &subject), Stand::Mine | Stand::Done);
+        let asked = self.wanted.entry(member.to_owned()).or_insert(Point(0));
+        // What its module asks the holder asks for all.
+        *asked = if may { now } else { *asked };
+        may
     }
 
     /// Facts to be told, and members that this driver is to ask now for all. `wants` says whether the module still wants a
@@ -116,7 +110,6 @@
 
     /// This driver has late executions at these members, each with when its last was sent.
     pub fn is_late(&mut self, now: Point, late: &BTreeMap<String, Point>) -> Vec<(Fact, Span)> {
-        self.late = late.keys().cloned().collect();
         let mut facts = Vec::new();
         for (member, sent) in late {
             self.silence.late(member, self.own, *sent, now);
--- a/crates/recovery/src/trust.rs
+++ b/crates/recovery/src/trust.rs
@@ -3,11 +3,9 @@
 
 use asterlatch::time::{Point, Span};
 use asterlatch_shared::fact::{Fact, Kind, Standing};
-use serde::Serialize;
 
 /// What may be done with a kept fact.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Use {
     /// As if it were heard now.
     AtOnce,
@@ -31,8 +29,7 @@
 }
 
 /// The wall clock of now against the time that a fact was written at, or the latest one of the whole copy.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Clock {
     /// It went on: so much has passed, as far as it can be believed.
     Passed(Span),
@@ -40,7 +37,7 @@
     WentBack,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Verdict {
     pub used: Use,
     /// How old it counts as; nothing where it isn't used.
@@ -53,7 +50,6 @@
 struct Case<'a> {
     fact: &'a Fact,
     clock: Clock,
-    kept: Span,
 }
 
 impl Case<'_> {
@@ -63,7 +59,7 @@
 
     /// Older than this kind is kept for, where that is known.
     fn is_over(&self) -> bool {
-        matches!(self.clock, Clock::Passed(span) if span >= self.kept)
+        matches!(self.clock, Clock::Passed(span) if span >= self.kind().kept())
     }
 }
 
@@ -122,8 +118,7 @@
     } else {
         Clock::WentBack
     };
-    let kept = fact.kind().kept();
-    let case = Case { fact, clock, kept };
+    let case = Case { fact, clock };
     let (why, _, used) = RULES
         .iter()
         .find(|(_, fires, _)| fires(&case))
--- a/crates/shared/src/wire.rs
+++ b/crates/shared/src/wire.rs
@@ -175,12 +175,14 @@
 /// What a later version says more, wherever it may.
 const MORE: &[u8] = b"more";
 const UNKNOWN: u8 = 250;
+/// Bytes of a datagram that are left for that.
+const MORE_ROOM: usize = 200;
 
 impl Dialect {
     /// How many bytes are left for items, about.
     pub fn room(self, head: &Head) -> usize {
         // The library's own messages have nothing behind them, and fill a datagram at most by two thirds.
-        let more = if self == Dialect::Later { 200 } else { 0 };
+        let more = if self == Dialect::Later { MORE_ROOM } else { 0 };
         LONGEST - 9 - 2 - body(head).len() - more
     }
 
@@ -194,7 +196,7 @@
         let mut rest = vec![VERSION + u8::from(is_later)];
         rest.extend((head.len() as u16).to_be_bytes());
         rest.extend(head);
-        let mut room = 200;
+        let mut room = MORE_ROOM;
         for item in items {
             if is_later && item[0] != PRESENCE && room > 20 {
                 room -= MORE.len();
--- a/crates/turns/src/lease.rs
+++ b/crates/turns/src/lease.rs
@@ -133,19 +133,15 @@
         self.there.clone_from(others);
     }
 
-    /// This driver's life has changed: what it held belongs to nobody.
-    pub fn outlive(&mut self, life: u64) {
-        self.life = life;
+    pub fn want(&mut self, now: Point, subject: &str) {
+        self.subject(subject).wanted.get_or_insert(now);
     }
 
-    pub fn want(&mut self, now: Point, subject: &str) {
-        if !self.all.contains_key(subject) {
-            self.all.insert(subject.to_owned(), Subject::default());
-            self.make_room(subject);
-        }
-        if let Some(s) = self.all.get_mut(subject) {
-            s.wanted.get_or_insert(now);
+    fn subject(&mut self, name: &str) -> &mut Subject {
+        if !self.all.contains_key(name) {
+            self.make_room();
         }
+        self.all.entry(name.to_owned()).or_default()
     }
 
     /// It isn't wanted any more; what that ends is to be told.
@@ -154,20 +150,14 @@
         let s = self.all.get_mut(subject)?;
         s.wanted = None;
         let claim = s.claim.as_mut().filter(|_| acts)?;
-        (claim.said, claim.end, s.said) = (claim.said + 1, end, now);
+        (claim.said, claim.end, s.said) = (claim.said.saturating_add(1), end, now);
         Some(*claim)
     }
 
     /// What others said of a turn, so long ago.
     pub fn told(&mut self, now: Point, subject: &str, claim: Claim, ago: Span) {
         let is_own = claim.holder == self.own && claim.life == self.life;
-        if !self.all.contains_key(subject) {
-            self.all.insert(subject.to_owned(), Subject::default());
-            self.make_room(subject);
-        }
-        let Some(s) = self.all.get_mut(subject) else {
-            return;
-        };
+        let s = self.subject(subject);
         let stands = s.claim.map_or(claim, |here| here.joined(claim));
         let at = now - ago;
         if s.claim == Some(stands) {
@@ -179,14 +169,13 @@
         s.open = None;
     }
 
-    fn make_room(&mut self, kept: &str) {
-        if self.all.len() <= MOST {
+    /// For one more.
+    fn make_room(&mut self) {
+        if self.all.len() < MOST {
             return;
         }
-        let others = self.all.iter().filter(|(name, _)| name.as_str() != kept);
-        let oldest = others
-            .min_by_key(|(_, s)| (s.wanted.is_some(), s.said))
-            .map(|(name, _)| name.clone());
+        let oldest = self.all.iter().min_by_key(|(_, s)| (s.wanted.is_some(), s.said));
+        let oldest = oldest.map(|(name, _)| name.clone());
         oldest.map(|name| self.all.remove(&name));
     }
 
@@ -248,7 +237,7 @@
                     let open = *s.open.get_or_insert(now);
                     let may = now - open >= terms.step * rank as f64;
                     may.then(|| {
-                        let term = claim.map_or(0, |c| c.term) + 1;
+                        let term = claim.map_or(0, |c| c.term).saturating_add(1);
                         let new = Claim {
                             term,
                             holder: own,
--- a/crates/turns/src/silence.rs
+++ b/crates/turns/src/silence.rs
@@ -63,23 +63,23 @@
     }
 
     fn known(&mut self, member: &str) -> &mut Known {
-        if !self.members.contains_key(member) && self.members.len() >= MOST_MEMBERS {
-            let newest = |k: &Known| {
-                k.late
-                    .values()
-                    .map(|(_, said)| *said)
-                    .max()
-                    .unwrap_or_default()
-                    .max(k.heard)
-            };
-            let oldest = self
-                .members
-                .iter()
-                .min_by_key(|(_, k)| newest(k))
-                .map(|(n, _)| n.clone());
-            oldest.map(|n| self.members.remove(&n));
+        // Every answer comes by here: a name is copied for a new member alone.
+        if !self.members.contains_key(member) {
+            self.make_room();
+            self.members.insert(member.to_owned(), Known::default());
+        }
+        self.members.get_mut(member).expect("is there, or was put there")
+    }
+
+    /// For one more.
+    fn make_room(&mut self) {
+        if self.members.len() < MOST_MEMBERS {
+            return;
         }
-        self.members.entry(member.to_owned()).or_default()
+        let said = |k: &Known| k.late.values().map(|(_, said)| *said).max().unwrap_or_default();
+        let oldest = self.members.iter().min_by_key(|(_, k)| said(k).max(k.heard));
+        let oldest = oldest.map(|(name, _)| name.clone());
+        oldest.map(|name| self.members.remove(&name));
     }
 
     /// Something came from it to some driver, at that time.
--- a/crates/turns/src/sums.rs
+++ b/crates/turns/src/sums.rs
@@ -1,6 +1,6 @@
 //! What members bear, by all drivers' answers together. In sparse views a driver moves the share of statements that it lets
-//! in at a member by answers that come seconds apart; here the shares of all are drawn together, each weighed by how many
-//! answers stand behind it and by how old its word is.
+//! in at a member by answers that come seconds apart; here the shares of all that were answered lately are drawn together, each
+//! weighed by how old its word is, and no further by its answers: who lets in more has more of them.
 //!
 //! Drawing together keeps the mean: what all drivers let in at a member moves by answers alone, as it did before, so
 //! however many act on the same word at once they don't swing. A word counts half after `halves`, so what is ten seconds
--- a/crates/turns/tests/lease.rs
+++ b/crates/turns/tests/lease.rs
@@ -213,6 +213,19 @@
     }
 }
 
+/// A claim of the last term there is, from a driver that tells nonsense: nobody ends for it, and it ends with its lease.
+#[test]
+fn the_last_term_there_is_harms_nobody() {
+    let mut l = Leases::new(1, 1, Terms::default());
+    l.want(Point(0), "m");
+    l.told(Point(0), "m", claim(u64::MAX, 9, u64::MAX, End::Holds), Span(0));
+    assert_eq!(l.stand(Point(0), "m"), Stand::Theirs);
+    let later = Point(0) + ms(2000);
+    let told = l.reach(later);
+    assert_eq!((told.len(), l.stand(later, "m")), (1, Stand::Mine));
+    assert!(l.rest(later, "m", End::Done).is_some());
+}
+
 #[test]
 fn subjects_are_bounded_and_let_go() {
     let mut l = Leases::new(1, 1, Terms::default());
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -632,7 +632,10 @@
     fn home(&mut self, id: u32) -> Option<usize> {
         let s = &self.stmts[&id];
         let (g, w) = (s.group, s.workload);
-        self.groups.arrange(g, &self.members, &self.firsts);
+        let parted = self.fleet.parts_replicas() && self.sparse();
+        if parted {
+            self.groups.arrange(g, &self.members, &self.firsts);
+        }
         let primary = self.groups[g].primary;
         let fit = primary.filter(|p| self.fits(*p, s));
         if self.settings.needs_primary(w) {
@@ -648,18 +651,13 @@
         let quiet = |m: usize, minds: bool| minds && self.is_quiet(m);
         let turn = |minds| self.groups[g].by_turn(|m| self.covers(m, s) && takes(m) && !quiet(m, minds));
         // Departure: in large fleets a driver stays with its own replica, unless others let in clearly more.
-        let (members, let_in) = (&self.groups[g].members, &self.members.let_in);
-        let could = |m: &usize| fits(*m) && self.covers(*m, s) && self.has_room(*m) && !quiet(*m, true);
-        let open = members.iter().filter(|m| could(m));
-        let best = open.map(|m| let_in[*m]).fold(0.0, f64::max);
-        let stays = |m: usize| could(&m) && s.bar <= best && let_in[m] >= best * LOYAL;
-        let parted = self.fleet.parts_replicas() && self.sparse();
-        let mut order = self.groups[g].order.iter().copied().filter(|_| parted);
-        let by_turn = order
-            .find(|at| stays(members[*at]))
-            .or_else(|| self.groups[g].by_turn(spared))
-            .or_else(|| turn(true))
-            .or_else(|| turn(false));
+        let could = |m: usize| fits(m) && self.covers(m, s) && self.has_room(m) && !quiet(m, true);
+        let own = || self.groups[g].by_order(could, &self.members.let_in, s.bar, LOYAL);
+        let by_turn = parted
+            .then(own)
+            .flatten()
+            .or_else(|| self.groups[g].by_turn(spared));
+        let by_turn = by_turn.or_else(|| turn(true)).or_else(|| turn(false));
         // Departure: where all ready replicas are full, the primary takes reads too; with half of its bound
         // where a driver fills that alone, or its own work would find no place.
         let f = &self.members;
--- a/src/state.rs
+++ b/src/state.rs
@@ -181,6 +181,24 @@
         places.into_iter().find(|at| takes(self.members[*at]))
     }
 
+    /// The first in this driver's order that could take it and lets in at least this part of what the best of those does;
+    /// none where that best one lets in less than the statement needs.
+    pub fn by_order(
+        &self,
+        could: impl Fn(usize) -> bool,
+        let_in: &[f64],
+        bar: f64,
+        part: f64,
+    ) -> Option<usize> {
+        let open = self.order.iter().filter(|at| could(self.members[**at]));
+        let open: Vec<(usize, f64)> = open.map(|at| (*at, let_in[self.members[*at]])).collect();
+        let best = open.iter().map(|(_, share)| *share).fold(0.0, f64::max);
+        let stays = |share: f64| bar <= best && share >= best * part;
+        open.into_iter()
+            .find(|(_, share)| stays(*share))
+            .map(|(at, _)| at)
+    }
+
     /// What waits, by workload and rank.
     pub fn queued(&self) -> impl Iterator<Item = &Rank> {
         self.waiting.values().flatten()
