A write answered behind its statement's end is remembered for its session

Ruled out: positions (the replica's own word was right in each case of the test), forgetting (under 50,000 sessions). Cause, one of two: learn_commit in src/choice.rs looked the session up in the statement, which is gone where it was given up or its client had left, while its execution went on and was answered. The execution now carries its session. Test: a_write_answered_behind_its_end_is_remembered_too, fails without (given up: the replica gets the read).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -392,10 +392,10 @@
     fn learn_commit(&mut self, run: &Running, end: &ExecutionEnd) {
         let write = self.settings.workloads[run.workload].freshness == Freshness::Write;
         let done = end.ending == Completed && write && !self.settings.session_age_carried;
-        if let Some(s) = self.stmts.get(&end.stmt).filter(|_| done) {
+        if done {
             // A write without a stated commit is taken to have committed by now.
             let commit = end.sighting.position.unwrap_or(self.now);
-            self.sessions.note(s.session, commit, SESSIONS_KEPT);
+            self.sessions.note(run.session, commit, SESSIONS_KEPT);
         }
     }
 
@@ -863,7 +863,7 @@
         let new_connection = !self.connected(m);
         let s = self.stmts.get_mut(&id).expect("placed only while held");
         self.groups[s.group].leave(s.workload, s.rank.take());
-        let run = Running::new(m, s.workload, self.now, new_connection);
+        let run = Running::new(m, s, self.now, new_connection);
         self.running.insert((id, s.executions as u8), run);
         s.executions += 1;
         let f = &mut self.members;
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,6 +52,8 @@
 pub struct Running {
     pub member: usize,
     pub workload: usize,
+    /// Whose it is: its answer may come behind the end of its statement.
+    pub session: u64,
     pub sent: Point,
     pub called_off: bool,
     /// None was free, so that one had to be set up for it.
@@ -68,11 +70,12 @@
         is_new
     }
 
-    pub fn new(member: usize, workload: usize, sent: Point, new_connection: bool) -> Running {
+    pub fn new(member: usize, s: &Stmt, sent: Point, new_connection: bool) -> Running {
         let (called_off, lost) = (false, false);
         Running {
             member,
-            workload,
+            workload: s.workload,
+            session: s.session,
             sent,
             called_off,
             new_connection,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -298,6 +298,31 @@
     }
 }
 
+/// Where nothing is called off, the answer of a write comes also after its statement was given up or its client has left.
+#[test]
+fn a_write_answered_behind_its_end_is_remembered_too() {
+    for ending in ["answered in time", "given up", "withdrawn"] {
+        let mut b = bench(
+            &with(|s| {
+                (s.members_check_reads, s.session_age_carried, s.cancel_allowed) = (false, false, false)
+            }),
+            2,
+        );
+        b.see(1, 1, 1, true);
+        let (id, _) = b.take_by(50, WRITE, 200, 0);
+        match ending {
+            "given up" => assert_eq!(b.run_until(51, 260).answers, [Answer::Aborted { stmt: id }]),
+            "withdrawn" => drop(b.driver.statement_withdrawn(at(60), id)),
+            _ => {}
+        }
+        b.end_seen(300, id, 0, 1, Completed, seen(100, true));
+        b.see(310, 2, 90, false);
+        assert_eq!(b.goes(311, SESSION), [1], "{ending}: the replica lacks the write");
+        b.see(320, 2, 100, false);
+        assert_eq!(b.goes(321, SESSION), [2], "{ending}");
+    }
+}
+
 /// Members that check reads can't check this one: no statement tells them what its session wrote. So a lag that was seen
 /// long ago proves nothing, and an unsure replica isn't tried.
 #[test]
