Nothing goes out on a new connection before the module has looked again

Found by reading (crossing: a connection comes up late, up to its connect timeout, while its client leaves, its member drains, the time of its repeats ends or a position covers it no more). The query lay with the connection's coroutine from the start (Run::Query in errands.rs start) and left when the greeting ended, whatever had come meanwhile; where nothing may be called off it left even for clients that were gone. A statement given up while it waited so was answered 40003 (choice.rs finish: is_out), though nothing had left. Ruled out on standing connections: query and look are one step there. Now a connection that comes up asks first (Driver::goes_out); what may not go ends as never sent, its connection serves another or is let go in time; drains and withdrawals take such executions back at once, with or without leave to call off. Repeats of deduplicated statements go out within 0.95 of their window, for they need time to arrive. Views of the module's mind and what it is handed moved to src/choice/views.rs: nothing is chosen there.

--- a/crates/driver/src/routing/errands.rs
+++ b/crates/driver/src/routing/errands.rs
@@ -59,6 +59,23 @@
     Crowded,
 }
 
+/// What an errand begins with.
+pub enum Start {
+    /// This connection stands, and may be sent on at once.
+    Stands(u32),
+    /// One is coming up.
+    Opens(Cause),
+}
+
+/// A connection that has come up.
+#[derive(Debug, PartialEq)]
+pub enum Up {
+    For(Errand),
+    /// What it was opened for needs it no more: it is idle.
+    Idle,
+    Unknown,
+}
+
 /// Opens a connection under this number.
 pub type Dial = Box<dyn FnMut(u32, SocketAddr) -> io::Result<Line<Run>>>;
 
@@ -68,6 +85,8 @@
     busy: BTreeMap<u32, Errand>,
     running: BTreeMap<(u32, u8), u32>,
     ends: BTreeSet<(Point, u32)>,
+    /// Connections that come up for nobody, and until when they may.
+    coming: BTreeMap<u32, Point>,
     ages: Ages,
     /// Members that a connection ever stood to, and whether the last one was closed to make room.
     met: BTreeMap<u32, bool>,
@@ -89,6 +108,7 @@
             busy: BTreeMap::new(),
             running: BTreeMap::new(),
             ends: BTreeSet::new(),
+            coming: BTreeMap::new(),
             ages: Ages::default(),
             met: BTreeMap::new(),
             connect_timeout,
@@ -110,14 +130,9 @@
         self.pool.idle_members()
     }
 
-    /// Sends on an idle connection, else on a new one; or says how that ended at once.
-    pub fn start(
-        &mut self,
-        now: Point,
-        errand: Errand,
-        address: SocketAddr,
-        query: Vec<u8>,
-    ) -> Result<Option<Cause>, Ending> {
+    /// Gives it an idle connection, else opens one, on which nothing goes out before it is up; or says how that ended
+    /// at once.
+    pub fn start(&mut self, now: Point, errand: Errand, address: SocketAddr) -> Result<Start, Ending> {
         let mut errand = errand;
         let mut cause = None;
         let earliest = now - self.ages.limit().unwrap_or(self.idle).min(self.idle);
@@ -137,10 +152,14 @@
         if let Kind::Execution { stmt, number } = errand.kind {
             self.running.insert((stmt, number), connection);
         }
-        self.pool.tell(connection, Run::Query(query));
         self.ends.insert((errand.ends, connection));
         self.busy.insert(connection, errand);
-        Ok(cause)
+        Ok(cause.map_or(Start::Stands(connection), Start::Opens))
+    }
+
+    /// Sends the query of the errand that has this connection.
+    pub fn send(&mut self, connection: u32, query: Vec<u8>) {
+        self.pool.tell(connection, Run::Query(query));
     }
 
     fn cause(&mut self, member: u32) -> Cause {
@@ -170,14 +189,33 @@
     }
 
     /// The connection stands: from now on its answer is waited for.
-    pub fn up(&mut self, connection: u32) {
+    pub fn up(&mut self, connection: u32, now: Point) -> Up {
+        if let Some(ends) = self.coming.remove(&connection) {
+            self.ends.remove(&(ends, connection));
+            self.pool.give_back(connection, now);
+            return Up::Idle;
+        }
         let Some(errand) = self.busy.get_mut(&connection) else {
-            return;
+            return Up::Unknown;
         };
         self.ends.remove(&(errand.ends, connection));
         errand.up = true;
         errand.ends = errand.until;
         self.ends.insert((errand.ends, connection));
+        Up::For(*errand)
+    }
+
+    /// Takes an errand back of which nothing has gone out. Its connection serves another: at once if it is up, else
+    /// when it comes up within its time.
+    pub fn take_back(&mut self, connection: u32, now: Point) -> Option<Errand> {
+        let errand = self.finish(connection)?;
+        if errand.up {
+            self.pool.give_back(connection, now);
+        } else {
+            self.ends.insert((errand.ends, connection));
+            self.coming.insert(connection, errand.ends);
+        }
+        Some(errand)
     }
 
     fn finish(&mut self, connection: u32) -> Option<Errand> {
@@ -208,24 +246,34 @@
     /// Ends the connection, which is never used again.
     pub fn end(&mut self, connection: u32) -> Option<Errand> {
         self.pool.remove(connection);
+        if let Some(ends) = self.coming.remove(&connection) {
+            self.ends.remove(&(ends, connection));
+        }
         self.finish(connection)
     }
 
-    pub fn cancel(&mut self, stmt: u32, number: u8) -> Option<Errand> {
+    /// Calls an execution off; says how that ends it.
+    pub fn cancel(&mut self, now: Point, stmt: u32, number: u8) -> Option<(Errand, Ending)> {
         let connection = *self.running.get(&(stmt, number))?;
-        self.end(connection)
+        if self.busy.get(&connection).is_some_and(|e| e.up) {
+            Some((self.end(connection)?, Ending::Cancelled))
+        } else {
+            Some((self.take_back(connection, now)?, Ending::NeverSent))
+        }
     }
 
-    /// The first whose answer has been waited for long enough. Where the connection was still coming up it is only
-    /// hung up on, and its end waited for: the statement may go out in this very moment, and only the connection
-    /// knows whether it did.
-    pub fn overdue(&mut self, now: Point) -> Option<Errand> {
+    /// The first that has been waited for long enough, and how that ends it: what waited for its connection never ran.
+    pub fn overdue(&mut self, now: Point) -> Option<(Errand, Ending)> {
         while let Some((at, connection)) = self.ends.first().copied().filter(|(at, _)| *at <= now) {
-            if self.busy.get(&connection).is_some_and(|e| e.up) {
-                return self.end(connection);
-            }
             self.ends.remove(&(at, connection));
-            self.pool.remove(connection);
+            if let Some(errand) = self.end(connection) {
+                let ending = if errand.up {
+                    Ending::TimedOut
+                } else {
+                    Ending::NoConnection
+                };
+                return Some((errand, ending));
+            }
         }
         None
     }
--- a/crates/driver/src/routing/owner/mod.rs
+++ b/crates/driver/src/routing/owner/mod.rs
@@ -1,6 +1,7 @@
 //! Holds the module and all tables. Each input is taken to its end before the next one; nothing here waits.
 
 mod beside;
+mod sending;
 mod sharing;
 mod turns;
 
@@ -27,7 +28,7 @@
 use asterlatch::interface::*;
 use asterlatch::time::{Point, Span};
 use asterlatch_settings::Decoding;
-use asterlatch_takeover::ledger::{Record, Verdicts};
+use asterlatch_takeover::ledger::Verdicts;
 use asterlatch_takeover::message as moving;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -308,8 +309,8 @@
 
     /// Does what is due by the clock.
     pub fn reach(&mut self, now: Point) {
-        while let Some(errand) = self.errands.overdue(now) {
-            self.end(errand, now, Ending::TimedOut, Sighting::default());
+        while let Some((errand, ending)) = self.errands.overdue(now) {
+            self.end(errand, now, ending, Sighting::default());
             self.tell_ended(now);
         }
         if self.module_wakes.is_some_and(|at| at <= now) {
@@ -568,8 +569,8 @@
     fn carry_out(&mut self, now: Point, results: Results) {
         self.module_wakes = results.wake_up;
         for c in &results.cancellations {
-            if let Some(errand) = self.errands.cancel(c.stmt, c.number) {
-                self.end(errand, now, Ending::Cancelled, Sighting::default());
+            if let Some((errand, ending)) = self.errands.cancel(now, c.stmt, c.number) {
+                self.end(errand, now, ending, Sighting::default());
             }
         }
         for e in &results.executions {
@@ -609,33 +610,6 @@
         self.start(now, Errand::new(Kind::Probe, member, now, until));
     }
 
-    /// Sends what the errand is for.
-    fn start(&mut self, now: Point, errand: Errand) {
-        let query = match errand.kind {
-            Kind::Execution { stmt, .. } => self.statements.query(stmt, now, errand.until),
-            Kind::Probe => Some(messages::probe(self.decoding.reported)),
-        };
-        let address = self.members.address(errand.member);
-        if let (Kind::Execution { stmt, .. }, Some(witness)) = (errand.kind, &self.witness) {
-            if let Some((client, end, harmless)) = self.statements.place(stmt).filter(|_| witness.is_on()) {
-                let out = Record::Out {
-                    client,
-                    end,
-                    harmless,
-                };
-                witness.put(&out, None);
-            }
-        }
-        let started = match query.zip(address) {
-            Some((query, address)) => self.errands.start(now, errand, address, query),
-            None => Err(Ending::NeverSent),
-        };
-        match started {
-            Ok(cause) => self.figures.opened(cause),
-            Err(ending) => self.end(errand, now, ending, Sighting::default()),
-        }
-    }
-
     fn end(&mut self, errand: Errand, at: Point, ending: Ending, sighting: Sighting) {
         let took = at - errand.sent;
         self.ended.push_back(Ended {
@@ -680,7 +654,7 @@
 
     fn member_heard(&mut self, now: Point, heard: execution::Heard) {
         match heard {
-            execution::Heard::Up { connection } => self.errands.up(connection),
+            execution::Heard::Up { connection } => self.connection_up(now, connection),
             execution::Heard::Moved { connection, stream } => {
                 let member = self.errands.moved(connection);
                 self.moved_connections.extend(member.map(|m| (m, stream)));
@@ -725,7 +699,7 @@
                 if errand.reused && !written {
                     // It had ended while it sat idle: nothing went out, so this isn't another execution.
                     self.figures.idle_connections_stale += 1;
-                    return self.start(now, errand);
+                    return self.restart(now, errand);
                 }
                 self.errands.note_age(&errand, now, written);
                 self.end(errand, at, endings::of_loss(written), Sighting::default());
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,6 +3,8 @@
 //! `src/time.rs`, what a driver remembers in `src/state.rs`. After each input the `RULES` are gone through in
 //! order, again and again, until none fires.
 
+mod views;
+
 use crate::fleet::{self, Fleet, Zones};
 use crate::health::{DEAR, GOOD_PACE, LATE_COUNTS, NEWEST, OVERDUE, OVERDUE_PACES};
 use crate::interface::Ending::*;
@@ -19,6 +21,8 @@
 const STALL: Span = Span::millis(50);
 /// What found no place is told after this part of its time.
 const UNSENT: f64 = 0.45;
+/// Part of the time in which a repeat is known that it may go out in: the rest is for its way.
+const SURELY: f64 = 0.95;
 /// Before another try where the same members are all there is.
 const RETRY: Span = Span::millis(50);
 /// Answers of a member in the rule's window under which a driver can't tell what that one bears and lets in
@@ -111,21 +115,6 @@
         }
     }
 
-    /// Goes on from what another process has learned, whose clock this one shares. That a member owes is
-    /// the other's belief, and not inherited. Its idle connections stand only if they came along.
-    pub fn resume(learned: Driver, settings: &Settings, idle_came: bool, now: Point) -> Driver {
-        let settings = settings.clone();
-        let mut d = Driver {
-            fleet: Fleet::of(settings.driver_count),
-            firsts: Firsts::alone(learned.chance.seed),
-            settings,
-            now,
-            ..learned
-        };
-        d.touched = d.members.disown(idle_came, now);
-        d
-    }
-
     /// Another process with this one's memory serves beside it (`yields`: it gets the cold members), or is
     /// gone. What either may have sent there by now isn't known here: it counts as sent just now.
     pub fn beside(&mut self, now: Point, yields: bool) -> Results {
@@ -161,43 +150,6 @@
         self.settle()
     }
 
-    /// Members that are cold: how warm on the mean of the rule's span, and what this driver would carry.
-    pub fn cold_view(&self, now: Point) -> Vec<(u32, f64, f64)> {
-        let cold = self
-            .members
-            .cold(now, now - self.settings.fall_span * 0.5, &self.settings);
-        cold.map(|(m, warmth)| (self.members.id[m], warmth, self.carried(m)))
-            .collect()
-    }
-
-    /// The share that each member is let in.
-    pub fn shares(&self) -> impl Iterator<Item = (u32, f64)> + '_ {
-        let all = self.members.index.iter();
-        all.map(|(id, m)| (*id, self.members.let_in[*m]))
-    }
-
-    /// What a statement of a workload takes.
-    pub fn work_of(&self, workload: usize) -> Span {
-        self.typical[workload]
-    }
-
-    /// Drivers that are there beside this one, by keys alike for all of them, and how many count in all.
-    pub fn peers_told(&mut self, own: u64, others: &BTreeSet<u64>, count: u32) -> bool {
-        self.fleet = Fleet::of(count);
-        self.firsts.among(own, others)
-    }
-
-    /// Whether probes of a member are wanted, now or later.
-    pub fn wants_probe(&self, member: u32) -> bool {
-        let known = self.members.index.get(&member);
-        known.is_some_and(|m| self.probe_due(*m).is_some())
-    }
-
-    /// Where a session's last write was committed that another driver carried.
-    pub fn session_told(&mut self, session: u64, position: Point) {
-        self.sessions.note(session, position, SESSIONS_KEPT);
-    }
-
     pub fn statement_taken(&mut self, now: Point, s: &Statement) -> Results {
         self.hear(now);
         let group = self.groups.at(s.group);
@@ -276,6 +228,27 @@
         self.settle()
     }
 
+    /// A connection has to come up first: until `goes_out` nothing of this execution has left.
+    pub fn awaits(&mut self, stmt: u32, number: u8) {
+        let run = self.running.get_mut(&(stmt, number));
+        run.into_iter().for_each(|r| r.awaits = true);
+    }
+
+    /// Whether an execution may still go out now that it can; if so it has. What has come meanwhile may forbid
+    /// it: its end, a drain, the end of the time of its repeats, or a position that covers it no more.
+    pub fn goes_out(&mut self, now: Point, stmt: u32, number: u8) -> bool {
+        self.now = now;
+        let run = self.running.get(&(stmt, number)).filter(|r| !r.called_off);
+        let Some((m, s)) = run.map(|r| r.member).zip(self.stmts.get(&stmt)) else {
+            return false;
+        };
+        let primary = self.groups[s.group].primary == Some(m) || self.settings.needs_primary(s.workload);
+        let ready = primary || self.is_checked(s) || self.covers(m, s);
+        let goes = ready && self.may_send(m) && now < s.send_by.min(s.answer_by);
+        self.running.get_mut(&(stmt, number)).expect("seen above").awaits &= !goes;
+        goes
+    }
+
     pub fn probe_answered(&mut self, now: Point, member: u32, ok: bool, took: Span, s: Sighting) -> Results {
         self.hear(now);
         let before = now - self.longest_typical() * OVERDUE_PACES;
@@ -309,6 +282,14 @@
         let (up, down): (Vec<_>, Vec<_>) = all.partition(|m| self.may_send(*m));
         self.warm_size = up.iter().map(|m| self.members.size[*m] * self.warmth(*m)).sum();
         for m in down {
+            let waits = self
+                .running
+                .iter_mut()
+                .filter(|(_, r)| r.member == m && r.awaits && !r.called_off);
+            for (&(stmt, number), run) in waits {
+                run.called_off = true;
+                self.results.cancellations.push(Cancellation { stmt, number });
+            }
             let g = &mut self.groups[self.members.group[m]];
             let f = &mut self.members;
             g.depose(m);
@@ -396,6 +377,10 @@
             // A write without a stated commit is taken to have committed by now.
             let commit = end.sighting.position.unwrap_or(self.now);
             self.sessions.note(run.session, commit, SESSIONS_KEPT);
+            // Reads of it that are still here must see it too, for they may go out after this.
+            let read = |s: &&mut Stmt| s.session == run.session && s.session > 0;
+            let reads = self.stmts.values_mut().filter(read);
+            reads.for_each(|s| s.token = s.token.max(commit));
         }
     }
 
@@ -474,7 +459,7 @@
             Repeat::Idempotent => true,
             Repeat::NonIdempotent => s.doubt.is_none(),
             Repeat::Deduplicated => {
-                s.send_by = s.doubt.map_or(s.send_by, |(sent, _)| sent + w.window);
+                s.send_by = s.doubt.map_or(s.send_by, |(sent, _)| sent + w.window * SURELY);
                 self.now < s.send_by
             }
         }
@@ -810,8 +795,8 @@
         s.slo_at - self.typical[s.workload] * margin
     }
 
-    fn is_out(&self, id: u32) -> bool {
-        self.running.range((id, 0)..=(id, u8::MAX)).next().is_some()
+    fn runs(&self, id: u32) -> impl Iterator<Item = &Running> {
+        self.running.range((id, 0)..=(id, u8::MAX)).map(|(_, run)| run)
     }
 
     /// While this driver was held up itself no member owed it anything, and what comes then says little.
@@ -832,7 +817,7 @@
 
     /// Gives a waiting statement its place in the queue; one that is out is only looked at again later.
     fn queue(&mut self, id: u32) {
-        if self.is_out(id) {
+        if self.runs(id).next().is_some() {
             return self.plan(id);
         }
         let s = self.stmts.get_mut(&id).expect("queued only while held");
@@ -890,7 +875,8 @@
     fn finish(&mut self, id: u32) {
         let Some(s) = self.stmts.get(&id) else { return };
         let w = &self.settings.workloads[s.workload];
-        let harmless = w.repeats_harmlessly() || s.doubt.is_none() && !self.is_out(id);
+        let left = self.runs(id).any(|r| !r.awaits);
+        let harmless = w.repeats_harmlessly() || s.doubt.is_none() && !left;
         // A repeat that may still count should come at once; any other only adds to the load.
         let worthwhile = self.now + self.typical[s.workload] < s.slo_at;
         let hold_off = self.settings.max_hold_off * if worthwhile { 0.0 } else { 1.0 };
@@ -902,11 +888,11 @@
         self.forget(id);
     }
 
-    /// Work for a client that no longer waits is only in the way of others.
+    /// Work for a client that no longer waits is only in the way of others. What has not left may stay here.
     fn call_off(&mut self, id: u32) {
         let allowed = self.settings.cancel_allowed;
         for (&(stmt, number), run) in self.running.range_mut((id, 0)..=(id, u8::MAX)) {
-            if allowed && !std::mem::replace(&mut run.called_off, true) {
+            if (allowed || run.awaits) && !std::mem::replace(&mut run.called_off, true) {
                 self.results.cancellations.push(Cancellation { stmt, number });
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,6 +60,8 @@
     pub new_connection: bool,
     /// Its member is known to live and still gives no answer: it counts no more.
     pub lost: bool,
+    /// A connection is being set up for it, and nothing of it has left.
+    pub awaits: bool,
 }
 
 impl Running {
@@ -71,7 +73,7 @@
     }
 
     pub fn new(member: usize, s: &Stmt, sent: Point, new_connection: bool) -> Running {
-        let (called_off, lost) = (false, false);
+        let (called_off, lost, awaits) = (false, false, false);
         Running {
             member,
             workload: s.workload,
@@ -80,6 +82,7 @@
             called_off,
             new_connection,
             lost,
+            awaits,
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -73,6 +73,7 @@
     // (its end comes at, the new primary is seen at, whose repeats are dropped; whether it is sent again)
     let table = [
         (100, 900, Scope::Group, true),
+        (100, 960, Scope::Group, false), // it could arrive too late
         (100, 1100, Scope::Group, false),
         (1050, 1060, Scope::Group, false),
         (100, 900, Scope::Zone, false), // the new primary is in another zone
