A session reads the primary while a write of it is out, or was lost, where the driver remembers

Cause: learn_commit noted completed writes alone; one that may have run counted as none. Now a write that is out keeps its session's reads at the primary, and one that was lost counts as committed by the time of its loss. Test: a_session_reads_the_primary_while_its_write_is_in_doubt fails without (None: the read goes to the replica).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -372,9 +372,9 @@
 
     fn learn_commit(&mut self, run: &Running, end: &ExecutionEnd) {
         let write = self.settings.workloads[run.workload].freshness == Freshness::Write;
-        let done = end.ending == Completed && write && !self.settings.session_age_carried;
+        let done = write && !self.settings.session_age_carried && !never_ran(end.ending);
         if done {
-            // A write without a stated commit is taken to have committed by now.
+            // A write without a stated commit, or whose answer was lost, is taken to have committed by now.
             let commit = end.sighting.position.unwrap_or(self.now);
             self.sessions.note(run.session, commit, SESSIONS_KEPT);
             // Reads of it that are still here must see it too, for they may go out after this.
@@ -712,6 +712,7 @@
     fn covers(&self, m: usize, s: &Stmt) -> bool {
         let need = match self.settings.workloads[s.workload].freshness {
             Freshness::Bounded(bound) => self.now - bound,
+            Freshness::Session if self.writes(s.session) => return false,
             Freshness::Session => s.token,
             Freshness::Any => return true,
             Freshness::Fresh | Freshness::Write => return false,
@@ -721,6 +722,16 @@
             || (self.is_checked(s) && f.told_at[m].is_none_or(|at| self.now - (at - f.position[m]) >= need))
     }
 
+    /// A write of this session is out, and may have committed though its answer is late or lost.
+    fn writes(&self, session: u64) -> bool {
+        let write = |r: &Running| self.settings.workloads[r.workload].freshness == Freshness::Write;
+        let mut out = self
+            .running
+            .values()
+            .filter(|r| r.session == session && !r.awaits);
+        !self.settings.session_age_carried && session > 0 && out.any(write)
+    }
+
     /// A member can check only what it is told: what a session has written, only where statements carry that.
     fn is_checked(&self, s: &Stmt) -> bool {
         let told = self.settings.workloads[s.workload].freshness != Freshness::Session;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -324,6 +324,40 @@
     }
 }
 
+/// A write that is out, or was lost, may have committed: its session's reads go where it would be seen.
+#[test]
+fn a_session_reads_the_primary_while_its_write_is_in_doubt() {
+    // (how the write ends at 150, if it does; where the session's read goes then, and once the replica stands at 160)
+    let table = [
+        (None, 1, 1),
+        (Some(ConnectionLost), 1, 2),
+        (Some(TimedOut), 1, 2),
+        (Some(Missed), 2, 2),
+        (Some(NoConnection), 2, 2),
+        (Some(Completed), 2, 2),
+    ];
+    for (ending, first, then) in table {
+        let mut s = settings();
+        (s.members_check_reads, s.session_age_carried, s.max_executions) = (false, false, 1);
+        let mut b = bench(&s, 2);
+        b.see(1, 1, 1, true);
+        let (id, _) = b.take(50, WRITE);
+        b.see(120, 2, 119, false);
+        if let Some(ending) = ending {
+            let told = if ending == Completed {
+                seen(100, true)
+            } else {
+                Sighting::default()
+            };
+            b.end_seen(150, id, 0, 1, ending, told);
+            b.see(151, 1, 151, true);
+        }
+        assert_eq!(b.goes(152, SESSION), [first], "{ending:?}");
+        b.see(161, 2, 160, false);
+        assert_eq!(b.goes(162, SESSION), [then], "{ending:?}");
+    }
+}
+
 /// Members that check reads can't check this one: no statement tells them what its session wrote. So a lag that was seen
 /// long ago proves nothing, and an unsure replica isn't tried.
 #[test]
