A client that leaves is heard of though it is not read any further

Seen by reading (crossing: a client has sent more than 16 KB ahead of its answer, and closes): its execution went on to its statement's end. Cause: Connection::read (transport/stream.rs) returns Wait while nothing more is wanted, and the end lies behind what is unread, so Heard::Gone never came and the statement waited, was sent on and kept its places. Ruled out: the wake-up (the event loop wakes for the end; what was missing is the look), and clients that leave answers unread, where the write fails and ends the connection. Now a connection that isn't read any further asks the kernel at each wake-up whether the peer has hung up.

--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -492,6 +492,10 @@
         out.notices.push(Heard::NoRoom);
     }
 
+    fn minds_hang_up(&self) -> bool {
+        true
+    }
+
     fn surrendered(&mut self, stream: TcpStream, input: Vec<u8>, out: &mut Outbox<Heard>) {
         let opened = self.state == State::Open;
         self.state = State::Over;
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -5,6 +5,7 @@
 use super::room::{Room, Taken};
 use asterlatch::time::Point;
 use may::io::{CoIo, WaitIo, WaitIoWaker};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::RefCell;
 use std::io::{self, ErrorKind, Read, Write};
@@ -59,6 +60,10 @@
     /// Takes what it can from the front of `input`, which arrived by `at`.
     fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Self::Notice>);
     fn told(&mut self, command: Self::Command, at: Point, out: &mut Outbox<Self::Notice>);
+    /// A peer that has gone is to be heard of though what it sent is not read: it wants no answer any more.
+    fn minds_hang_up(&self) -> bool {
+        false
+    }
     /// All bytes put out so far are with the kernel.
     fn written(&mut self, _out: &mut Outbox<Self::Notice>) {}
     /// The connection is over, whoever ended it. Commands may still be told after that.
@@ -168,7 +173,8 @@
 
     fn read(&mut self) -> Flow {
         if !self.hungry() {
-            return Flow::Wait;
+            let gone = self.dialogue.minds_hang_up() && self.has_hung_up();
+            return if gone { Flow::End } else { Flow::Wait };
         }
         let watched = self.dialogue.is_watched();
         let got = READ.with_borrow_mut(|buffer| {
@@ -196,6 +202,17 @@
         }
     }
 
+    /// The peer has closed or reset the connection, whatever lies unread before that.
+    fn has_hung_up(&self) -> bool {
+        let mut fds = [PollFd::new(self.io.inner(), PollFlags::RDHUP)];
+        let at_once = Timespec {
+            tv_sec: 0,
+            tv_nsec: 0,
+        };
+        let told = poll(&mut fds, Some(&at_once)).map_or(PollFlags::empty(), |_| fds[0].revents());
+        told.intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+    }
+
     fn write(&mut self) -> Flow {
         self.unwritten |= !self.out.bytes.is_empty();
         while !self.out.bytes.is_empty() {
