An answer of discovery without a length is whole where its connection ends, not where it is reset

Ruled out: reading it at once (no length says what is missing), and taking a complete-looking list at a reset. Cause: http.rs knew lengths and chunks alone, and a dialogue could not tell the peer's end from a reset (stream.rs read: both were Flow::End). Now Dialogue::peer_ended tells of a clean end before the connection is over, and the call reads what lies there.

--- a/crates/driver/src/protocol/http.rs
+++ b/crates/driver/src/protocol/http.rs
@@ -7,6 +7,11 @@
 #[derive(Debug, PartialEq)]
 pub enum Answer {
     Partial,
+    /// Whatever comes up to the connection's end belongs to it: so far this much, from here on.
+    UpToTheEnd {
+        status: u16,
+        from: usize,
+    },
     Whole {
         status: u16,
         body: Vec<u8>,
@@ -39,12 +44,16 @@
     };
     let status = response.code.unwrap_or(0);
     let keep = !value("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
-    let body = if value("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
+    let coding = value("transfer-encoding");
+    let body = if coding.is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
         chunked(&input[head..])
     } else {
         match value("content-length").map(str::parse::<usize>) {
             Some(Ok(length)) if length > ANSWER => Err(()),
             Some(Ok(length)) => Ok(input.get(head..head + length).map(|b| (b.to_vec(), length))),
+            None if coding.is_none() && input.len() <= head + ANSWER => {
+                return Answer::UpToTheEnd { status, from: head }
+            }
             _ => Err(()),
         }
     };
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -67,6 +67,8 @@
     /// Takes what it can from the front of `input`, which arrived by `at`.
     fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Self::Notice>);
     fn told(&mut self, command: Self::Command, at: Point, out: &mut Outbox<Self::Notice>);
+    /// The peer has ended its side, and did not reset the connection: nothing comes behind what lies unused.
+    fn peer_ended(&mut self, _input: &mut Vec<u8>, _at: Point, _out: &mut Outbox<Self::Notice>) {}
     /// All that lay at the socket was heard.
     fn caught_up(&mut self, _out: &mut Outbox<Self::Notice>) {}
     /// Whether, where it ends the connection, the peer is to have all that was said: our side is shut then, and what still
@@ -217,7 +219,11 @@
             got
         });
         match got {
-            Ok(0) => Flow::End,
+            Ok(0) => {
+                let at = self.clock.now();
+                self.dialogue.peer_ended(&mut self.input, at, &mut self.out);
+                Flow::End
+            }
             Ok(_) => {
                 self.read_at = self.clock.now();
                 self.dialogue.heard(&mut self.input, self.read_at, &mut self.out);
--- a/crates/driver/tests/closes.rs
+++ b/crates/driver/tests/closes.rs
@@ -154,3 +154,47 @@
         "{ended:?}"
     );
 }
+
+/// Discovery says no length: its answer is whole where it ends the connection, and none where that is reset.
+#[test]
+fn a_list_that_is_reset_on_its_way_is_none() {
+    let (old, new) = (member(Manner::Answers), member(Manner::Answers));
+    let (discovery, at) = listener();
+    let process = serve_described("list-reset", &described(free_address(), at, old.address));
+    let list = format!(
+        r#"{{"index":2,"snapshot":true,"endpoints":[{{"name":"n","address":"{}","zone":"a","group":1,"status":"SERVING",
+        "weight":1.0,"since_ms":0,"rank":"source"}}]}}"#,
+        new.address
+    );
+    let answers = |reset: bool| {
+        let (mut call, _) = discovery.accept().expect("is called");
+        read_head(&mut call);
+        call.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{list}").as_bytes())
+            .expect("is written");
+        let linger = reset.then_some(Duration::ZERO);
+        socket2::SockRef::from(&call).set_linger(linger).expect("is set");
+    };
+    let mut client = process.client();
+    answers(true);
+    // It has called again, so it knows of the reset.
+    answers(true);
+    ask(&mut client, "post");
+    assert!(old.told().contains("c=post"), "the last good list stands");
+    assert_eq!(answer(&mut client).0, "T D C Z");
+    answers(false);
+    let (mut call, _) = discovery.accept().expect("is called");
+    assert!(read_head(&mut call).contains("after=2&"), "it was taken");
+    ask(&mut client, "post");
+    assert!(new.told().contains("c=post"));
+    assert_eq!(answer(&mut client).0, "T D C Z");
+}
+
+/// What discovery is asked.
+fn read_head(stream: &mut TcpStream) -> String {
+    let (mut head, mut byte) = (String::new(), [0]);
+    while !head.ends_with("\r\n\r\n") {
+        stream.read_exact(&mut byte).expect("asks");
+        head.push(byte[0] as char);
+    }
+    head
+}
