An answer that itself shows older data than its read allows is not passed on

Ruled out: positions (the member's own word was right), the list's role (said_replica false, it claimed it itself), sessions (a bounded read; none is carried there), the restart (other drivers send there as well). Cause: reads on the primary are not held against its position (choice.rs home: spilled), for a primary stands at the present; and the owner passed on whatever row came. What the member is can't be known before its answer, but the answer shows its position. Now accepts() in the module says whether a row may go to the client: a bounded read's position reaches to its bound before it was sent, a session's to its token; else it failed and has run (idempotent reads go out again). Tests: an_answer_that_shows_older_data_than_its_read_allows_is_not_accepted (table), an_answer_from_data_that_are_too_old_is_not_ passed_on (owner); both don't build without.

--- a/crates/driver/src/routing/figures.rs
+++ b/crates/driver/src/routing/figures.rs
@@ -45,6 +45,7 @@
     ended_cancelled,
     ended_never_sent,
     ended_missed,
+    answers_too_old,
     members_malformed,
     idle_connections_stale,
     connections_adopted,
--- a/crates/driver/src/routing/owner/mod.rs
+++ b/crates/driver/src/routing/owner/mod.rs
@@ -672,10 +672,18 @@
                     _ => self.errands.answered(connection, now),
                 };
                 let Some(errand) = errand else { return };
-                let ending = endings::of_reply(&reply);
                 let sighting = sighting.joined(self.reported(&errand, &reply, report));
+                let ending = match errand.kind {
+                    Kind::Execution { stmt, number } if matches!(reply, execution::Reply::Rows(_)) => {
+                        endings::of_rows(self.module.accepts(stmt, number, sighting))
+                    }
+                    _ => endings::of_reply(&reply),
+                };
                 self.end(errand, at, ending, sighting);
                 match (reply, errand.kind) {
+                    (execution::Reply::Rows(_), Kind::Execution { .. }) if ending != Ending::Completed => {
+                        self.figures.answers_too_old += 1;
+                    }
                     // The first whole answer goes to the client as the bytes that came.
                     (execution::Reply::Rows(rows), Kind::Execution { stmt, .. }) => {
                         let answered = self.answer(stmt, Final::Rows(rows));
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -413,6 +413,45 @@
     );
 }
 
+/// The primary was held up for long and deposed: its answer shows that, and does not go to the client, who gets another's.
+#[test]
+fn an_answer_from_data_that_are_too_old_is_not_passed_on() {
+    let bounded = SETTINGS.replace(
+        r#""freshness":["loose","update","loose"]"#,
+        r#""freshness":["recent","update","loose"],"staleness_bound_us":[500000,0,0]"#,
+    );
+    for (behind, told) in [(499, "rows(old)"), (501, "rows(new)")] {
+        let mut s = Stage::new(&bounded, 1024, 192 << 20);
+        s.client(1);
+        s.asks(1, VIEW);
+        let (connection, first) = s.sent().expect("is sent");
+        let sighting = Sighting {
+            position: Some(s.now - Span::millis(behind)),
+            is_primary: None,
+        };
+        let (reply, at, report) = (rows("old"), s.now, None);
+        s.heard(Member::Replied {
+            connection,
+            at,
+            reply,
+            sighting,
+            report,
+        });
+        if behind > 500 {
+            assert_eq!(s.told(1), "", "neither as an answer nor as a failure");
+            s.pass(60);
+            let (connection, second) = s.sent().expect("is sent again");
+            assert_ne!(first, second);
+            s.reply(connection, rows("new"), None);
+        }
+        let refused = u64::from(behind > 500);
+        assert_eq!(
+            (s.told(1).as_str(), s.owner.figures.answers_too_old),
+            (told, refused)
+        );
+    }
+}
+
 /// While a connection comes up, much may happen to what waits for it: what may not go out any more doesn't, and the
 /// connection serves another.
 #[test]
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -115,41 +115,6 @@
         }
     }
 
-    /// Another process with this one's memory serves beside it (`yields`: it gets the cold members), or is
-    /// gone. What either may have sent there by now isn't known here: it counts as sent just now.
-    pub fn beside(&mut self, now: Point, yields: bool) -> Results {
-        self.hear(now);
-        let longest = self.longest_typical();
-        self.yields = yields;
-        self.members.reckon_anew(now, longest);
-        self.touched.extend(self.members.index.values());
-        self.settle()
-    }
-
-    /// What another process of this driver, or another driver, tells of a member.
-    pub fn told(&mut self, now: Point, member: u32, word: Told) -> Results {
-        self.hear(now);
-        let Some(&m) = self.members.index.get(&member) else {
-            return self.settle();
-        };
-        let (sparse, f) = (self.sparse(), &mut self.members);
-        match word {
-            Told::Open(count) => f.elsewhere[m] = count,
-            Told::Cold { work, until } => f.allowed[m] = Some((work, until)),
-            Told::Silent(until) => f.quiet_until[m] = until,
-            Told::Share(share) => f.let_in[m] = if sparse { share } else { f.let_in[m] },
-            Told::Said(ago, s) => self.learn_sighting(m, ago, ago, s),
-            Told::Drains(started) if f.started[m] <= started && f.standing[m] == Standing::Ready => {
-                (f.standing[m], f.drained[m]) = (Standing::Draining, true);
-                self.groups[f.group[m]].depose(m);
-            }
-            Told::Drains(_) => {}
-        }
-        self.changed.insert(self.members.group[m]);
-        self.touched.push(m);
-        self.settle()
-    }
-
     pub fn statement_taken(&mut self, now: Point, s: &Statement) -> Results {
         self.hear(now);
         let group = self.groups.at(s.group);
@@ -234,7 +199,7 @@
         run.into_iter().for_each(|r| r.awaits = true);
     }
 
-    /// Whether an execution may still go out now that it can; if so it has. What has come meanwhile may forbid
+    /// Whether an execution may still go out now that it can; if so it has. What came meanwhile may forbid
     /// it: its end, a drain, the end of the time of its repeats, or a position that covers it no more.
     pub fn goes_out(&mut self, now: Point, stmt: u32, number: u8) -> bool {
         self.now = now;
@@ -245,10 +210,29 @@
         let primary = self.groups[s.group].primary == Some(m) || self.settings.needs_primary(s.workload);
         let ready = primary || self.is_checked(s) || self.covers(m, s);
         let goes = ready && self.may_send(m) && now < s.send_by.min(s.answer_by);
-        self.running.get_mut(&(stmt, number)).expect("seen above").awaits &= !goes;
+        let run = self.running.get_mut(&(stmt, number)).expect("seen above");
+        (run.awaits, run.sent) = if goes {
+            (false, now)
+        } else {
+            (run.awaits, run.sent)
+        };
         goes
     }
 
+    /// Whether an answer may go to the client: not one that itself shows older data than the read allowed
+    /// when it was sent. A primary that was held up and deposed meanwhile answers what lay there, none the wiser.
+    pub fn accepts(&self, stmt: u32, number: u8, s: Sighting) -> bool {
+        let Some(run) = self.running.get(&(stmt, number)) else {
+            return true;
+        };
+        let need = match self.settings.workloads[run.workload].freshness {
+            Freshness::Bounded(bound) => run.sent - bound,
+            Freshness::Session => self.stmts.get(&stmt).map_or(Point(0), |s| s.token),
+            Freshness::Any | Freshness::Fresh | Freshness::Write => Point(0),
+        };
+        s.position.is_none_or(|p| p >= need)
+    }
+
     pub fn probe_answered(&mut self, now: Point, member: u32, ok: bool, took: Span, s: Sighting) -> Results {
         self.hear(now);
         let before = now - self.longest_typical() * OVERDUE_PACES;
--- a/src/choice/views.rs
+++ b/src/choice/views.rs
@@ -1,13 +1,49 @@
-//! How a driver's mind is handed on to it, and what a host may see of it. Nothing is decided here.
+//! How a driver's mind is handed on to it, what others tell it, and what a host may see of it. Nothing is
+//! decided here.
 
 use super::{Driver, SESSIONS_KEPT};
 use crate::fleet::Fleet;
-use crate::interface::Settings;
+use crate::interface::{Results, Settings, Standing, Told};
 use crate::subset::Firsts;
 use crate::time::{Point, Span};
 use std::collections::BTreeSet;
 
 impl Driver {
+    /// Another process with this one's memory serves beside it (`yields`: it gets the cold members), or is
+    /// gone. What either may have sent there by now isn't known here: it counts as sent just now.
+    pub fn beside(&mut self, now: Point, yields: bool) -> Results {
+        self.hear(now);
+        let longest = self.longest_typical();
+        self.yields = yields;
+        self.members.reckon_anew(now, longest);
+        self.touched.extend(self.members.index.values());
+        self.settle()
+    }
+
+    /// What another process of this driver, or another driver, tells of a member.
+    pub fn told(&mut self, now: Point, member: u32, word: Told) -> Results {
+        self.hear(now);
+        let Some(&m) = self.members.index.get(&member) else {
+            return self.settle();
+        };
+        let (sparse, f) = (self.sparse(), &mut self.members);
+        match word {
+            Told::Open(count) => f.elsewhere[m] = count,
+            Told::Cold { work, until } => f.allowed[m] = Some((work, until)),
+            Told::Silent(until) => f.quiet_until[m] = until,
+            Told::Share(share) => f.let_in[m] = if sparse { share } else { f.let_in[m] },
+            Told::Said(ago, s) => self.learn_sighting(m, ago, ago, s),
+            Told::Drains(started) if f.started[m] <= started && f.standing[m] == Standing::Ready => {
+                (f.standing[m], f.drained[m]) = (Standing::Draining, true);
+                self.groups[f.group[m]].depose(m);
+            }
+            Told::Drains(_) => {}
+        }
+        self.changed.insert(self.members.group[m]);
+        self.touched.push(m);
+        self.settle()
+    }
+
     /// Members that are cold: how warm on the mean of the rule's span, and what this driver would carry.
     pub fn cold_view(&self, now: Point) -> Vec<(u32, f64, f64)> {
         let cold = self
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -358,6 +358,57 @@
     }
 }
 
+/// A member that was held up and deposed answers as if nothing had been: what its answer shows is held against what the read
+/// allowed when it was sent.
+#[test]
+fn an_answer_that_shows_older_data_than_its_read_allows_is_not_accepted() {
+    // (workload, when the session wrote, the position that the answer shows, whether it may go to the client); all are sent at
+    // 1000, and a bound is of 300.
+    let table = [
+        (BOUNDED, None, Some(700), true),
+        (BOUNDED, None, Some(699), false),
+        (BOUNDED, None, None, true),
+        (SESSION, Some(900), Some(900), true),
+        (SESSION, Some(900), Some(899), false),
+        (SESSION, Some(900), None, true),
+        (SESSION, None, Some(1), true),
+        (READ, None, Some(1), true),
+        (FRESH, None, Some(1), true),
+        (WRITE, None, Some(1), true),
+    ];
+    for (workload, wrote, shows, accepted) in table {
+        let mut b = bench(&settings(), 2);
+        b.see(990, 1, 990, true);
+        b.see(990, 2, 990, false);
+        let stmt = Statement {
+            written_ago: wrote.map(|w| ms(1000 - w)),
+            ..statement(7, workload, 2000)
+        };
+        let r = b.driver.statement_taken(at(1000), &stmt);
+        assert_eq!(r.executions.len(), 1);
+        let seen = Sighting {
+            position: shows.map(at),
+            is_primary: Some(true),
+        };
+        assert_eq!(
+            b.driver.accepts(7, 0, seen),
+            accepted,
+            "{workload} {wrote:?} {shows:?}"
+        );
+        assert!(
+            b.driver.accepts(8, 0, seen),
+            "what nobody waits for is nothing to refuse"
+        );
+    }
+    // One that waits for its connection counts from when it goes out.
+    let mut b = bench(&settings(), 1);
+    b.see(990, 1, 990, true);
+    b.driver.statement_taken(at(1000), &statement(7, BOUNDED, 2000));
+    b.driver.awaits(7, 0);
+    assert!(b.driver.goes_out(at(1200), 7, 0));
+    assert!(!b.driver.accepts(7, 0, seen(899, true)) && b.driver.accepts(7, 0, seen(900, true)));
+}
+
 /// Members that check reads can't check this one: no statement tells them what its session wrote. So a lag that was seen
 /// long ago proves nothing, and an unsure replica isn't tried.
 #[test]
