--- a/crates/driver/tests/closes.rs
+++ b/crates/driver/tests/closes.rs
@@ -108,6 +108,50 @@
     );
 }
 
+/// Signals that cross each other and a statement that is out: it is answered, the process ends well, and takes nothing new.
+#[test]
+fn signals_that_cross_lose_no_answer() {
+    for signals in [
+        &["TERM", "TERM"][..],
+        &["HUP", "TERM"],
+        &["TERM", "HUP", "TERM"],
+        &["HUP", "HUP", "TERM", "USR1"],
+    ] {
+        let member = member(Manner::Waits);
+        let process = serve(&format!("signals-{}", signals.join("-")), member.address);
+        let (mut busy, mut resting) = (process.client(), process.client());
+        ask(&mut busy, "post");
+        assert!(member.told().contains("c=post"));
+        signals.iter().for_each(|signal| process.signal(signal));
+        assert_eq!(rest(&mut resting), (Vec::new(), "end".to_owned()), "{signals:?}");
+        member.go.send(()).expect("waits");
+        assert_eq!(answer(&mut busy).0, "T D C Z", "{signals:?}");
+        assert_eq!(rest(&mut busy), (Vec::new(), "end".to_owned()), "{signals:?}");
+        drop((busy, resting));
+        let (good, log) = process.finish();
+        assert!(good && log.contains("is stopped"), "{signals:?}: {log}");
+    }
+}
+
+/// Told to leave with no list yet: what is asked for is refused by a word, and the process ends well.
+#[test]
+fn a_process_that_leaves_before_its_first_list_answers_what_it_took() {
+    let text = described(free_address(), silent_discovery(), free_address());
+    let (head, tail) = text.split_once(r#""known":"#).expect("knows a list");
+    let (_, tail) = tail.split_once("]},").expect("has an end");
+    let process = serve_described("no-list", &format!("{head}{tail}"));
+    let (mut client, mut resting) = (process.client(), process.client());
+    ask(&mut client, "post");
+    process.signal("TERM");
+    let (said, _) = answer(&mut client);
+    assert!(["E53300 Z", "E22023 Z"].contains(&said.as_str()), "{said}");
+    assert_eq!(rest(&mut resting), (Vec::new(), "end".to_owned()));
+    assert_eq!(rest(&mut client), (Vec::new(), "end".to_owned()));
+    drop((client, resting));
+    let (good, log) = process.finish();
+    assert!(good, "{log}");
+}
+
 /// The client has sent so much ahead that it isn't read any further, and goes.
 #[test]
 fn a_client_that_leaves_unread_has_its_execution_called_off() {
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -452,6 +452,96 @@
     }
 }
 
+/// An answer, the end of its connection, the statement's time and its client's end may all lie in one turn of the loop: in
+/// whatever order they are taken, the client gets one word, and what comes behind it changes nothing.
+#[test]
+fn one_final_answer_whatever_order_events_come_in() {
+    #[derive(Clone, Copy, Debug, PartialEq)]
+    enum Comes {
+        Answer,
+        Refusal,
+        Reset,
+        Time,
+        Gone,
+    }
+    use Comes::*;
+    let mut orders: Vec<Vec<Comes>> = vec![Vec::new()];
+    for _ in 0..4 {
+        let longer = orders.iter().flat_map(|order| {
+            let left = [Answer, Refusal, Reset, Time, Gone]
+                .into_iter()
+                .filter(|c| !order.contains(c));
+            left.map(|c| [&order[..], &[c]].concat()).collect::<Vec<_>>()
+        });
+        orders = longer.collect();
+    }
+    assert_eq!(orders.len(), 120);
+    for (workload, order) in [VIEW, POST]
+        .iter()
+        .flat_map(|w| orders.iter().map(move |o| (*w, o)))
+    {
+        let mut s = stage();
+        s.asks(1, workload);
+        let (connection, _) = s.sent().expect("is sent at once");
+        let (now, mut words) = (s.now + Span::millis(5000), Vec::new());
+        for comes in order {
+            match comes {
+                Answer => s.reply(connection, rows("v"), None),
+                Refusal => s.reply(connection, Reply::Error("XX000".to_owned()), None),
+                Reset => s.heard(Member::Down {
+                    connection,
+                    at: s.now,
+                    written: true,
+                }),
+                Time => s.owner.reach(now),
+                Gone => s.owner.take(s.now, Input::Client(Client::Gone { client: 1 })),
+            }
+            words.extend(Some(s.told(1)).filter(|w| !w.is_empty()));
+        }
+        let expected = match (order[0], workload) {
+            (Answer, _) => Some("rows(v)"),
+            (Refusal | Reset | Time, POST) => Some("40003"),
+            (Gone, _) => None,
+            // A read goes out again, on another connection: nothing that came on the first one is its answer then.
+            _ => words.first().map(String::as_str).filter(|w| *w != "rows(v)"),
+        };
+        assert!(words.len() <= 1, "{workload} {order:?}: {words:?}");
+        assert_eq!(
+            words.first().map(String::as_str),
+            expected,
+            "{workload} {order:?}"
+        );
+        let late = order.iter().position(|c| *c == Gone).unwrap_or(order.len());
+        assert!(
+            late == order.len() || s.owner.open_statements() == 0,
+            "{workload} {order:?}"
+        );
+    }
+}
+
+/// Many leave at once while all they asked for waits: nothing of it is sent on, now or when there is room again.
+#[test]
+fn what_waits_when_its_clients_leave_is_not_sent_on() {
+    for cancel in ["true", "false"] {
+        let settings = SETTINGS.replace(r#""cancel":true"#, &format!(r#""cancel":{cancel}"#));
+        let mut s = Stage::new(&settings, 1024, 192 << 20);
+        (1..=200).for_each(|id| s.client(id));
+        // Three statements each: what finds no room waits.
+        (1..=200).for_each(|id| (0..3).for_each(|_| s.asks(id, "c=post,d=60000,cluster=1")));
+        let out = std::iter::from_fn(|| s.sent()).collect::<Vec<_>>();
+        assert!(!out.is_empty() && out.len() < 300, "{}", out.len());
+        (1..=200).for_each(|id| s.owner.take(s.now, Input::Client(Client::Gone { client: id })));
+        out.iter()
+            .for_each(|(connection, _)| s.reply(*connection, rows("v"), Some(true)));
+        s.pass(1000);
+        assert_eq!(
+            (s.sent(), s.owner.open_statements()),
+            (None, 0),
+            "cancel {cancel}"
+        );
+    }
+}
+
 /// While a connection comes up, much may happen to what waits for it: what may not go out any more doesn't, and the
 /// connection serves another.
 #[test]
