Where lists are asked for a call that failed is made anew within 0.1 s, later only after several

Ruled out: a fixed short wait (a discovery that refuses calls would be asked some fifteen times a second by each driver). Cause: list_failed (choice.rs) used one gap, a tenth of the time for asking, with no regard to whether it was the first failure. Now the first in a row waits a sixteenth of that (31 to 94 ms where the time is 10 s), each further one twice as long. Tests: the_list_is_asked_for_again_after_a_failure (waits of eight failures in a row, and behind a call that stood); the owner's test asks for a call within 100 ms, and none within 30, where it asked for one within 1.6 s, and none within 400 ms: the former was the wait that is mended here.

--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -1099,13 +1099,13 @@
             heard: Discovery::Down,
         }),
     );
-    s.pass(400);
+    s.pass(30);
     assert_eq!(s.called.borrow().len(), 1, "not on the network's own account");
-    s.pass(1200);
+    s.pass(70);
     assert_eq!(
         s.called.borrow().len(),
         2,
-        "a tenth of the time in which it must be asked for, or half more"
+        "soon, for changes are missed meanwhile"
     );
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,8 +32,10 @@
 const LOYAL: f64 = 0.7;
 /// Sessions whose last commit is remembered where it isn't carried.
 const SESSIONS_KEPT: usize = 50_000;
-/// Between calls for the list after a failure, as a share of the time in which the list must be asked for.
+/// Between calls for the list after a failure, as a share of the time in which the list must be asked for, and
+/// the part of that after the first failure in a row: while none stands, changes are missed.
 const ASK_SHARE: f64 = 0.1;
+const ASK_FIRST: f64 = 1.0 / 16.0;
 
 const RULES: [fn(&mut Driver) -> bool; 8] = [
     Driver::answer_in_time,
@@ -87,6 +89,8 @@
     setup: f64,
     ask_at: Option<Point>,
     #[serde(skip)]
+    asks_failed: (i32, Point),
+    #[serde(skip)]
     planned: Option<Point>,
     stalled_at: Point,
     /// Another process serves the same members: what is cold there is that one's.
@@ -292,7 +296,14 @@
     /// The call for the list failed or the subscription broke; whether one stands is not known, so ask again.
     pub fn list_failed(&mut self, now: Point) -> Results {
         self.hear(now);
-        let gap = self.settings.list_ask_within * ASK_SHARE * (0.5 + self.chance.draw());
+        let most = self.settings.list_ask_within * ASK_SHARE;
+        let in_a_row = if now - self.asks_failed.1 < most {
+            self.asks_failed.0 + 1
+        } else {
+            0
+        };
+        self.asks_failed = (in_a_row, now + most);
+        let gap = most * (ASK_FIRST * 2f64.powi(in_a_row)).min(1.0) * (0.5 + self.chance.draw());
         self.ask_at = self.settings.list_on_request.then_some(now + gap);
         self.settle()
     }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -157,8 +157,36 @@
     for on_request in [true, false] {
         let mut b = bench(&with(|s| s.list_on_request = on_request), 2);
         assert!(!b.driver.list_failed(at(10)).subscribe, "not at once");
-        assert_eq!(b.run_until(11, 1600).subscribe, on_request);
+        assert!(!b.run_until(11, 40).subscribe);
+        assert_eq!(b.run_until(41, 110).subscribe, on_request);
     }
+    // Soon after the first failure, for changes are missed while no call stands; less so where calls fail in a row, as they do
+    // at a discovery that is asked too much.
+    let mut b = bench(&with(|s| s.list_on_request = true), 2);
+    let mut now = 10;
+    let mut waits = || {
+        b.driver.list_failed(at(now));
+        let from = now;
+        while !b.driver.time_reached(at(now)).subscribe {
+            now += 1;
+        }
+        now - from
+    };
+    let in_a_row: Vec<_> = (0..8).map(|_| waits()).collect();
+    for (n, waited) in in_a_row.iter().enumerate() {
+        let mean = (62 << n).min(1000);
+        assert!((mean / 2..=mean * 3 / 2 + 2).contains(waited), "{in_a_row:?}");
+    }
+    let waited = {
+        now += 2500;
+        b.driver.list_failed(at(now));
+        let found = (0..).find(|ms| b.driver.time_reached(at(now + ms)).subscribe);
+        found.expect("asks")
+    };
+    assert!(
+        waited < 100,
+        "one that stood for a while is no failure in a row: {waited}"
+    );
 }
 
 #[test]
