--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -44,7 +44,7 @@
         standing: Standing,
     },
     /// Our side of the connection is shut since then, and the client's still open.
-    Parting {
+    HalfClosed {
         client: u32,
     },
     /// The connection is over.
@@ -521,12 +521,12 @@
         }
     }
 
-    fn parts(&self) -> bool {
+    fn half_closes(&self) -> bool {
         true
     }
 
-    fn parted(&mut self, out: &mut Outbox<Heard>) {
-        out.notices.push(Heard::Parting { client: self.client });
+    fn half_closed(&mut self, out: &mut Outbox<Heard>) {
+        out.notices.push(Heard::HalfClosed { client: self.client });
     }
 
     fn minds_hang_up(&self) -> bool {
--- a/crates/driver/src/routing/clients.rs
+++ b/crates/driver/src/routing/clients.rs
@@ -15,12 +15,12 @@
     Writing,
     Resting,
     /// It was sent off, and may still read and send: what it sends is dropped.
-    Parting,
+    HalfClosed,
 }
-const PAUSES: [Pause; 4] = [Pause::Arriving, Pause::Writing, Pause::Resting, Pause::Parting];
+const PAUSES: [Pause; 4] = [Pause::Arriving, Pause::Writing, Pause::Resting, Pause::HalfClosed];
 
 /// For its way and the client's own end.
-const PARTING: Span = Span::millis(300);
+const HALF_CLOSED: Span = Span::millis(300);
 /// Who is in the middle of a message when the process leaves has this long to end it.
 const LAST_MESSAGE: Span = Span::millis(500);
 
@@ -137,7 +137,7 @@
     /// Lets one go for the sake of another: first who was sent off already; then who came long ago and asked for nothing,
     /// or who came with so many others that they would push out all that have asked; then who has rested the longest.
     pub fn free_one(&mut self, now: Point) -> bool {
-        if self.end_one_parting() {
+        if self.end_one_half_closed() {
             return true;
         }
         let arriving = self.first(Pause::Arriving);
@@ -151,8 +151,8 @@
     }
 
     /// Ends the connection that was shut first, whatever its client may still send; whether there was one.
-    fn end_one_parting(&mut self) -> bool {
-        let first = self.first(Pause::Parting);
+    fn end_one_half_closed(&mut self) -> bool {
+        let first = self.first(Pause::HalfClosed);
         if let Some((_, id)) = first {
             self.set(id, None);
             self.open.get_mut(&id).into_iter().for_each(|c| c.line.hang_up());
@@ -161,8 +161,8 @@
     }
 
     /// Our side of its connection is shut since now.
-    pub fn parts(&mut self, id: u32, now: Point) {
-        self.set(id, Some((Pause::Parting, now)));
+    pub fn half_closed(&mut self, id: u32, now: Point) {
+        self.set(id, Some((Pause::HalfClosed, now)));
     }
 
     fn tell_off(&mut self, id: u32, say: Say) {
@@ -175,7 +175,7 @@
             Pause::Arriving => self.limits.first_statement,
             Pause::Writing if self.leaving => self.limits.message.min(LAST_MESSAGE),
             Pause::Writing => self.limits.message,
-            Pause::Parting => PARTING,
+            Pause::HalfClosed => HALF_CLOSED,
             Pause::Resting => {
                 let part = self.asked as f64 / self.most as f64;
                 let found = self
@@ -204,7 +204,7 @@
                         rested += 1;
                         self.tell_off(id, Say::Leave);
                     }
-                    Pause::Parting => drop(self.end_one_parting()),
+                    Pause::HalfClosed => drop(self.end_one_half_closed()),
                     Pause::Arriving | Pause::Writing => {
                         slow += 1;
                         self.tell_off(id, Say::TimeUp);
--- a/crates/driver/src/routing/owner/mod.rs
+++ b/crates/driver/src/routing/owner/mod.rs
@@ -455,7 +455,7 @@
             }
             client::Heard::Idle { client, since } => self.clients.rests(client, since),
             client::Heard::Writing { client, since } => self.clients.writes(client, since),
-            client::Heard::Parting { client } => self.clients.parts(client, now),
+            client::Heard::HalfClosed { client } => self.clients.half_closed(client, now),
             client::Heard::Malformed => {
                 self.figures.clients_malformed += 1;
                 let text = format_args!("sent what is not the protocol");
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -73,11 +73,11 @@
     fn caught_up(&mut self, _out: &mut Outbox<Self::Notice>) {}
     /// Whether, where it ends the connection, the peer is to have all that was said: our side is shut then, and what still
     /// comes is dropped until the peer ends its own, or whoever holds the line lets go.
-    fn parts(&self) -> bool {
+    fn half_closes(&self) -> bool {
         false
     }
     /// Our side is shut.
-    fn parted(&mut self, _out: &mut Outbox<Self::Notice>) {}
+    fn half_closed(&mut self, _out: &mut Outbox<Self::Notice>) {}
     /// A peer that has gone is to be heard of though what it sent is not read: it wants no answer any more.
     fn minds_hang_up(&self) -> bool {
         false
@@ -250,14 +250,14 @@
     }
 
     /// Ends our side. What was written before is the peer's to read.
-    fn part(&mut self) -> Flow {
+    fn half_close(&mut self) -> Flow {
         if self.io.inner().shutdown(Shutdown::Write).is_err() {
             return Flow::End;
         }
         self.behind = Some(0);
         self.input = Vec::new();
         self.taken.resize(0);
-        self.dialogue.parted(&mut self.out);
+        self.dialogue.half_closed(&mut self.out);
         self.report();
         Flow::Again
     }
@@ -346,8 +346,8 @@
         }
         self.report();
         if self.out.close && (self.out.bytes.is_empty() || !self.up) && !matches!(flow, Flow::End) {
-            return if self.up && self.dialogue.parts() {
-                self.part()
+            return if self.up && self.dialogue.half_closes() {
+                self.half_close()
             } else {
                 Flow::End
             };
--- a/crates/driver/tests/protocol.rs
+++ b/crates/driver/tests/protocol.rs
@@ -201,7 +201,7 @@
         session::Heard::Malformed => "malformed".to_owned(),
         session::Heard::Oversized => "oversized".to_owned(),
         session::Heard::NoRoom => "no room".to_owned(),
-        session::Heard::Parting { .. } => "parting".to_owned(),
+        session::Heard::HalfClosed { .. } => "half closed".to_owned(),
         session::Heard::Gone { .. } => "gone".to_owned(),
     });
     words.collect::<Vec<_>>().join(" ")
--- a/crates/driver/tests/routing.rs
+++ b/crates/driver/tests/routing.rs
@@ -1179,7 +1179,7 @@
     let mut stage = stage();
     stage
         .owner
-        .take(stage.now, Input::Client(Client::Parting { client: 1 }));
+        .take(stage.now, Input::Client(Client::HalfClosed { client: 1 }));
     stage.pass(299);
     assert!(!ended(&stage, 1));
     stage.pass(1);
@@ -1194,7 +1194,7 @@
     stage.pass(1);
     stage
         .owner
-        .take(stage.now, Input::Client(Client::Parting { client: 2 }));
+        .take(stage.now, Input::Client(Client::HalfClosed { client: 2 }));
     stage.client(5);
     assert!(ended(&stage, 2), "it goes first");
     assert_eq!(
