--- a/crates/driver/src/protocol/session.rs
+++ b/crates/driver/src/protocol/session.rs
@@ -521,7 +521,7 @@
         }
     }
 
-    fn half_closes(&self) -> bool {
+    fn is_asked(&self) -> bool {
         true
     }
 
@@ -529,10 +529,6 @@
         out.notices.push(Heard::HalfClosed { client: self.client });
     }
 
-    fn minds_hang_up(&self) -> bool {
-        true
-    }
-
     fn may_end(&self) -> bool {
         self.row.is_empty()
     }
--- a/crates/driver/src/protocol/watch.rs
+++ b/crates/driver/src/protocol/watch.rs
@@ -111,7 +111,7 @@
     }
 
     /// Only where the peer has ended it is an answer whole that says no length: a reset is no end.
-    fn peer_ended(&mut self, input: &mut Vec<u8>, _at: Point, out: &mut Outbox<News>) {
+    fn peer_ended(&mut self, input: &[u8], out: &mut Outbox<News>) {
         if self.over {
             return;
         }
--- a/crates/driver/src/routing/calls.rs
+++ b/crates/driver/src/routing/calls.rs
@@ -54,7 +54,7 @@
     /// A list of this version is known from the first. Where discovery is asked, and each call costs it work, the first one
     /// is for what is newer; an agent that answers at no cost is asked for the whole.
     pub fn knows(&mut self, index: u64) {
-        self.index = self.index.or(Some(index).filter(|_| self.on_request));
+        self.index = Some(index).filter(|_| self.on_request);
     }
 
     /// The version that is known means nothing at discovery: the next list has to be a whole one.
--- a/crates/driver/src/routing/endings.rs
+++ b/crates/driver/src/routing/endings.rs
@@ -19,15 +19,6 @@
     }
 }
 
-/// How an execution ended that a member answered with a row: one that may not go to the client has failed, and has run.
-pub fn of_rows(accepted: bool) -> Ending {
-    if accepted {
-        Ending::Completed
-    } else {
-        Ending::Errored
-    }
-}
-
 /// How an execution ended whose connection is over.
 pub fn of_loss(written: bool) -> Ending {
     if written {
--- a/crates/driver/src/routing/owner/mod.rs
+++ b/crates/driver/src/routing/owner/mod.rs
@@ -673,17 +673,21 @@
                 };
                 let Some(errand) = errand else { return };
                 let sighting = sighting.joined(self.reported(&errand, &reply, report));
-                let ending = match errand.kind {
-                    Kind::Execution { stmt, number } if matches!(reply, execution::Reply::Rows(_)) => {
-                        endings::of_rows(self.module.accepts(stmt, number, sighting))
+                let may_go = match (&reply, errand.kind) {
+                    (execution::Reply::Rows(_), Kind::Execution { stmt, number }) => {
+                        self.module.accepts(stmt, number, sighting)
                     }
-                    _ => endings::of_reply(&reply),
+                    _ => true,
+                };
+                // What may not go to the client has run all the same.
+                let ending = if may_go {
+                    endings::of_reply(&reply)
+                } else {
+                    Ending::Errored
                 };
                 self.end(errand, at, ending, sighting);
                 match (reply, errand.kind) {
-                    (execution::Reply::Rows(_), Kind::Execution { .. }) if ending != Ending::Completed => {
-                        self.figures.answers_too_old += 1;
-                    }
+                    _ if !may_go => self.figures.answers_too_old += 1,
                     // The first whole answer goes to the client as the bytes that came.
                     (execution::Reply::Rows(rows), Kind::Execution { stmt, .. }) => {
                         let answered = self.answer(stmt, Final::Rows(rows));
--- a/crates/driver/src/transport/stream.rs
+++ b/crates/driver/src/transport/stream.rs
@@ -68,20 +68,17 @@
     fn heard(&mut self, input: &mut Vec<u8>, at: Point, out: &mut Outbox<Self::Notice>);
     fn told(&mut self, command: Self::Command, at: Point, out: &mut Outbox<Self::Notice>);
     /// The peer has ended its side, and did not reset the connection: nothing comes behind what lies unused.
-    fn peer_ended(&mut self, _input: &mut Vec<u8>, _at: Point, _out: &mut Outbox<Self::Notice>) {}
+    fn peer_ended(&mut self, _input: &[u8], _out: &mut Outbox<Self::Notice>) {}
     /// All that lay at the socket was heard.
     fn caught_up(&mut self, _out: &mut Outbox<Self::Notice>) {}
-    /// Whether, where it ends the connection, the peer is to have all that was said: our side is shut then, and what still
-    /// comes is dropped until the peer ends its own, or whoever holds the line lets go.
-    fn half_closes(&self) -> bool {
+    /// The peer asks, and is answered here. Where we end the connection it is to have all that was said: our side is shut
+    /// then, and what still comes is dropped until the peer ends its own, or whoever holds the line lets go. Where the peer
+    /// has gone that is heard of though what it sent is not read: it wants no answer any more.
+    fn is_asked(&self) -> bool {
         false
     }
     /// Our side is shut.
     fn half_closed(&mut self, _out: &mut Outbox<Self::Notice>) {}
-    /// A peer that has gone is to be heard of though what it sent is not read: it wants no answer any more.
-    fn minds_hang_up(&self) -> bool {
-        false
-    }
     /// Whether it may end for want of room: not while the peer is owed an answer.
     fn may_end(&self) -> bool {
         true
@@ -202,7 +199,7 @@
 
     fn read(&mut self) -> Flow {
         if !self.hungry() {
-            let gone = self.dialogue.minds_hang_up() && self.has_hung_up();
+            let gone = self.dialogue.is_asked() && self.has_hung_up();
             return if gone { Flow::End } else { Flow::Wait };
         }
         let watched = self.dialogue.is_watched();
@@ -220,8 +217,7 @@
         });
         match got {
             Ok(0) => {
-                let at = self.clock.now();
-                self.dialogue.peer_ended(&mut self.input, at, &mut self.out);
+                self.dialogue.peer_ended(&self.input, &mut self.out);
                 Flow::End
             }
             Ok(_) => {
@@ -241,10 +237,7 @@
     /// The peer has closed or reset the connection, whatever lies unread before that.
     fn has_hung_up(&self) -> bool {
         let mut fds = [PollFd::new(self.io.inner(), PollFlags::RDHUP)];
-        let at_once = Timespec {
-            tv_sec: 0,
-            tv_nsec: 0,
-        };
+        let at_once = Timespec::default();
         let told = poll(&mut fds, Some(&at_once)).map_or(PollFlags::empty(), |_| fds[0].revents());
         told.intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
     }
@@ -301,15 +294,11 @@
             }
         }
         let lying = (self.input.len() + self.out.bytes.len()).saturating_sub(SMALL);
-        // An answer that was begun is never cut off. While many are read slowly, statements find no room instead.
-        if !self.out.bytes.is_empty() {
-            self.taken.hold(lying);
-            return true;
-        }
-        if self.dialogue.may_end() {
+        // An answer that was begun is never cut off. While many are read slowly, statements find no room instead. Nor does
+        // one end that is owed an answer: no more is read ahead of that than `hungry` allows.
+        if self.out.bytes.is_empty() && self.dialogue.may_end() {
             return self.taken.resize(lying);
         }
-        // No more is read ahead of an answer than `hungry` allows.
         self.taken.hold(lying);
         true
     }
@@ -337,8 +326,9 @@
         }
         if !matches!(flow, Flow::End) && !self.has_room() {
             self.dialogue.crowded(&mut self.out);
-            let ends = !self.out.close || matches!(self.write(), Flow::End);
-            flow = if ends { Flow::End } else { flow };
+            if !self.out.close || matches!(self.write(), Flow::End) {
+                flow = Flow::End;
+            }
         }
         // The kernel tells of bytes only once: those left with it are asked for as soon as they are wanted.
         if !was_hungry && self.hungry() && matches!(flow, Flow::Wait) {
@@ -346,7 +336,7 @@
         }
         self.report();
         if self.out.close && (self.out.bytes.is_empty() || !self.up) && !matches!(flow, Flow::End) {
-            return if self.up && self.dialogue.half_closes() {
+            return if self.up && self.dialogue.is_asked() {
                 self.half_close()
             } else {
                 Flow::End
--- a/crates/driver/tests/closes.rs
+++ b/crates/driver/tests/closes.rs
@@ -19,6 +19,13 @@
     }
 }
 
+/// The process ends once its clients have, and well.
+fn ends_well<C>(process: Program, clients: C) {
+    drop(clients);
+    let (good, log) = process.finish();
+    assert!(good && log.contains("is stopped"), "{log}");
+}
+
 /// The connection is over for the client: whatever it writes is answered by a reset.
 fn resets(stream: &mut TcpStream) -> bool {
     let end = Instant::now() + PATIENCE;
@@ -99,9 +106,7 @@
     member.go.send(()).expect("waits");
     assert_eq!(answer(&mut busy).0, "T D C Z");
     assert_eq!(rest(&mut busy), (Vec::new(), "end".to_owned()));
-    drop((busy, fresh, writing));
-    let (good, log) = process.finish();
-    assert!(good, "{log}");
+    ends_well(process, (busy, fresh, writing));
     assert!(
         member.came.try_recv().is_err(),
         "nothing came behind the first statement"
@@ -127,9 +132,7 @@
         member.go.send(()).expect("waits");
         assert_eq!(answer(&mut busy).0, "T D C Z", "{signals:?}");
         assert_eq!(rest(&mut busy), (Vec::new(), "end".to_owned()), "{signals:?}");
-        drop((busy, resting));
-        let (good, log) = process.finish();
-        assert!(good && log.contains("is stopped"), "{signals:?}: {log}");
+        ends_well(process, (busy, resting));
     }
 }
 
@@ -143,9 +146,7 @@
     let text = described(free_address(), silent_discovery(), member.address);
     let process = serve_with("half-written", &text, &["--operators", &file]);
     let (mut slow, mut resting) = (process.client(), process.client());
-    let large = "/* id=1f,c=view,d=25000,cluster=1 */ SELECT blob FROM rows WHERE handle = 'large'\0";
-    slow.write_all(&message(b'Q', large.as_bytes()))
-        .expect("is written");
+    ask_for(&mut slow, "view", 25_000, "large");
     member.told();
     let mut first = [0];
     slow.peek(&mut first).expect("it has begun");
@@ -154,9 +155,7 @@
     let (said, row) = answer(&mut slow);
     assert_eq!((said.as_str(), row.len()), ("T D C Z", LARGE));
     assert_eq!(rest(&mut slow), (Vec::new(), "end".to_owned()));
-    drop((slow, resting));
-    let (good, log) = process.finish();
-    assert!(good, "{log}");
+    ends_well(process, (slow, resting));
 }
 
 /// Told to leave with no list yet: what is asked for is refused by a word, and the process ends well.
@@ -173,9 +172,7 @@
     assert!(["E53300 Z", "E22023 Z"].contains(&said.as_str()), "{said}");
     assert_eq!(rest(&mut resting), (Vec::new(), "end".to_owned()));
     assert_eq!(rest(&mut client), (Vec::new(), "end".to_owned()));
-    drop((client, resting));
-    let (good, log) = process.finish();
-    assert!(good, "{log}");
+    ends_well(process, (client, resting));
 }
 
 /// The client has sent so much ahead that it isn't read any further, and goes.
@@ -186,10 +183,7 @@
     for ahead in [20 * 1024, 60 * 1024] {
         let mut client = process.client();
         // It would end by itself long after anybody waits for that here.
-        let text = "/* id=1f,c=view,d=90000,cluster=1 */ SELECT blob FROM rows WHERE handle = 'x'\0";
-        client
-            .write_all(&message(b'Q', text.as_bytes()))
-            .expect("is written");
+        ask_for(&mut client, "view", 90_000, "x");
         assert!(member.told().contains("c=view"));
         client
             .write_all(&message(b'Q', b"\0").repeat(ahead / 6))
@@ -199,15 +193,23 @@
     }
 }
 
+/// A start with nobody else there: discovery and the only member say nothing, and clients come at once. It is ready, and what
+/// is asked for ends in its time.
+#[test]
+fn a_process_is_ready_while_all_others_are_silent() {
+    let process = serve("silent-others", silent_discovery());
+    for workload in ["view", "post"] {
+        let mut client = process.client();
+        ask_for(&mut client, workload, 300, "x");
+        assert_eq!(answer(&mut client).0, "E53300 Z", "nothing of it has left");
+    }
+}
+
 /// Those for whom there is no memory are told so, and get to read it.
 #[test]
 fn who_finds_no_memory_is_told() {
     let member = member(Manner::Answers);
-    let small = described(free_address(), silent_discovery(), member.address)
-        .replace(r#""memory_mb":192"#, r#""memory_mb":4"#);
-    let process = serve_described("no-memory", &small);
-    let mut clients: Vec<_> = (0..30).map(|_| process.client()).collect();
-    let part = [&b"Q\0\x02\0\0"[..], &[b'x'; 100_000]].concat();
+    let (_process, mut clients, part) = short_of_memory("no-memory", member.address);
     clients.iter_mut().for_each(|c| drop(c.write_all(&part)));
     let ended = clients.iter_mut().filter_map(|client| {
         // Only whether anything comes is a question of time; who waits for the rest of its message may stay.
@@ -239,7 +241,7 @@
     );
     let answers = |reset: bool| {
         let (mut call, _) = discovery.accept().expect("is called");
-        read_head(&mut call);
+        read_head(&mut call).expect("asks");
         call.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{list}").as_bytes())
             .expect("is written");
         let linger = reset.then_some(Duration::ZERO);
@@ -254,18 +256,11 @@
     assert_eq!(answer(&mut client).0, "T D C Z");
     answers(false);
     let (mut call, _) = discovery.accept().expect("is called");
-    assert!(read_head(&mut call).contains("after=2&"), "it was taken");
+    assert!(
+        read_head(&mut call).expect("asks").contains("after=2&"),
+        "it was taken"
+    );
     ask(&mut client, "post");
     assert!(new.told().contains("c=post"));
     assert_eq!(answer(&mut client).0, "T D C Z");
 }
-
-/// What discovery is asked.
-fn read_head(stream: &mut TcpStream) -> String {
-    let (mut head, mut byte) = (String::new(), [0]);
-    while !head.ends_with("\r\n\r\n") {
-        stream.read_exact(&mut byte).expect("asks");
-        head.push(byte[0] as char);
-    }
-    head
-}
--- a/crates/driver/tests/program.rs
+++ b/crates/driver/tests/program.rs
@@ -75,11 +75,7 @@
 #[test]
 fn unfinished_messages_fill_no_more_than_their_room() {
     let member = member(Manner::Answers);
-    let small = described(free_address(), silent_discovery(), member.address)
-        .replace(r#""memory_mb":192"#, r#""memory_mb":4"#);
-    let process = serve_described("unfinished", &small);
-    let mut clients: Vec<_> = (0..30).map(|_| process.client()).collect();
-    let part = [&b"Q\0\x02\0\0"[..], &[b'x'; 100_000]].concat();
+    let (process, mut clients, part) = short_of_memory("unfinished", member.address);
     // A client that was ended already may not take its part any more.
     let taken = clients.iter_mut().filter_map(|c| c.write_all(&part).ok()).count();
     assert!(taken >= 10, "a mebibyte takes ten of them: {taken}");
--- a/crates/driver/tests/protocol.rs
+++ b/crates/driver/tests/protocol.rs
@@ -825,7 +825,7 @@
         }
         assert!(out.notices.is_empty(), "{status}: not before its end");
         if ended {
-            call.peer_ended(&mut input, AT, &mut out);
+            call.peer_ended(&input, &mut out);
         }
         call.ended(AT, &mut out);
         let words = out.notices.iter().map(|n| match &n.heard {
--- a/crates/driver/tests/stand/mod.rs
+++ b/crates/driver/tests/stand/mod.rs
@@ -139,6 +139,27 @@
     }
 }
 
+/// What discovery is asked.
+pub fn read_head(stream: &mut TcpStream) -> std::io::Result<String> {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte)?;
+        head.extend(byte);
+    }
+    Ok(String::from_utf8_lossy(&head).into_owned())
+}
+
+/// A program with little memory, thirty clients that it has greeted, and the beginning of a message that each could send:
+/// together they would fill that memory.
+pub fn short_of_memory(name: &str, member: SocketAddr) -> (Program, Vec<TcpStream>, Vec<u8>) {
+    let small = described(free_address(), silent_discovery(), member)
+        .replace(r#""memory_mb":192"#, r#""memory_mb":4"#);
+    let process = serve_described(name, &small);
+    let clients = (0..30).map(|_| process.client()).collect();
+    let part = [&b"Q\0\x02\0\0"[..], &[b'x'; 100_000]].concat();
+    (process, clients, part)
+}
+
 /// Discovery that stays silent, as it does while it is down: the list that the driver knows must do.
 pub fn silent_discovery() -> SocketAddr {
     let (listener, address) = listener();
@@ -309,8 +330,14 @@
 }
 
 pub fn ask(stream: &mut TcpStream, workload: &str) -> String {
-    let text =
-        format!("/* id=1f,c={workload},d=25000,cluster=1,k=7 */ SELECT blob FROM rows WHERE handle = 'x'");
+    ask_for(stream, workload, 25_000, "x")
+}
+
+/// Asks for this key and waits for so many milliseconds.
+pub fn ask_for(stream: &mut TcpStream, workload: &str, left: u32, key: &str) -> String {
+    let text = format!(
+        "/* id=1f,c={workload},d={left},cluster=1,k=7 */ SELECT blob FROM rows WHERE handle = '{key}'"
+    );
     stream
         .write_all(&message(b'Q', format!("{text}\0").as_bytes()))
         .expect("is written");
--- a/crates/driver/tests/transport.rs
+++ b/crates/driver/tests/transport.rs
@@ -10,18 +10,21 @@
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
-/// Tells its number with the first byte that comes.
-struct First(u32);
+/// Tells its number with the first byte that comes, and whether small writes leave at once.
+struct First(u32, bool);
 
 impl Dialogue for First {
     type Command = ();
-    type Notice = u32;
-    fn heard(&mut self, input: &mut Vec<u8>, _at: Point, out: &mut Outbox<u32>) {
+    type Notice = (u32, bool);
+    fn stands(&mut self, stream: &TcpStream) {
+        self.1 = stream.nodelay().is_ok_and(|set| set);
+    }
+    fn heard(&mut self, input: &mut Vec<u8>, _at: Point, out: &mut Outbox<(u32, bool)>) {
         input.clear();
-        out.notices.push(self.0);
+        out.notices.push((self.0, self.1));
     }
-    fn told(&mut self, _command: (), _at: Point, _out: &mut Outbox<u32>) {}
-    fn ended(&mut self, _at: Point, _out: &mut Outbox<u32>) {}
+    fn told(&mut self, _command: (), _at: Point, _out: &mut Outbox<(u32, bool)>) {}
+    fn ended(&mut self, _at: Point, _out: &mut Outbox<(u32, bool)>) {}
     fn hungry(&self, _unused: usize) -> bool {
         true
     }
@@ -39,57 +42,34 @@
             let _ = stream.write_all(b"x");
         }
     });
-    let (queue, heard) = channel::<u32>();
+    let (queue, heard) = channel::<(u32, bool)>();
     let (clock, room) = (Clock::start(), Room::new(1 << 20));
     let mut lines: Vec<Line<()>> = Vec::new();
     for number in 0..6000 {
-        lines.push(dial(address, First(number), &queue, (clock, &room)).expect("is opened"));
+        lines.push(dial(address, First(number, false), &queue, (clock, &room)).expect("is opened"));
         let told = heard.recv_timeout(Duration::from_secs(5));
-        assert_eq!(told, Ok(number), "connection {number} is never heard of");
+        assert_eq!(told, Ok((number, true)), "connection {number} is never heard of");
         // Closed on the other thread while the next one is opened here.
         lines.truncate(0);
     }
 }
 
-/// Tells whether small writes leave at once.
-struct Undelayed(Option<bool>);
-
-impl Dialogue for Undelayed {
-    type Command = ();
-    type Notice = Option<bool>;
-    fn stands(&mut self, stream: &TcpStream) {
-        self.0 = stream.nodelay().ok();
-    }
-    fn opened(&mut self, out: &mut Outbox<Option<bool>>) {
-        out.notices.push(self.0);
-    }
-    fn heard(&mut self, _input: &mut Vec<u8>, _at: Point, _out: &mut Outbox<Option<bool>>) {}
-    fn told(&mut self, _command: (), _at: Point, _out: &mut Outbox<Option<bool>>) {}
-    fn ended(&mut self, _at: Point, _out: &mut Outbox<Option<bool>>) {}
-    fn hungry(&self, _unused: usize) -> bool {
-        true
-    }
-}
-
 /// What the system held back would go down with a reset behind it.
 #[test]
 fn no_socket_holds_small_writes_back() {
     start(Stacks::default());
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("is bound");
-    let (queue, heard) = channel::<Option<bool>>();
-    let (clock, room) = (Clock::start(), Room::new(1 << 20));
-    let dialled = dial(address, Undelayed(None), &queue, (clock, &room)).expect("is opened");
-    assert_eq!(heard.recv_timeout(Duration::from_secs(30)), Ok(Some(true)));
+    let (queue, heard) = channel::<(u32, bool)>();
+    let place = (Clock::start(), &Room::new(1 << 20));
+    let dialled = dial(address, First(1, false), &queue, place).expect("is opened");
+    let (mut peer, _) = listener.accept().expect("came");
+    peer.write_all(b"x").expect("is written");
+    assert_eq!(heard.recv_timeout(Duration::from_secs(30)), Ok((1, true)));
+    let mut peer = TcpStream::connect(address).expect("listens");
     let (accepted, _) = listener.accept().expect("came");
-    let held = hold(
-        accepted,
-        true,
-        Undelayed(None),
-        &queue,
-        (clock, &room),
-        Vec::new(),
-    );
-    assert_eq!(heard.recv_timeout(Duration::from_secs(30)), Ok(Some(true)));
+    let held = hold(accepted, true, First(2, false), &queue, place, Vec::new());
+    peer.write_all(b"x").expect("is written");
+    assert_eq!(heard.recv_timeout(Duration::from_secs(30)), Ok((2, true)));
     drop((dialled, held));
 }
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -3,7 +3,7 @@
 mod stand;
 use stand::*;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
 use std::os::unix::fs::PermissionsExt;
 use std::process::{Command, Output};
@@ -636,12 +636,7 @@
     let list = list.clone();
     let speak = |mut stream: TcpStream, list: Arc<Mutex<(u64, String)>>| -> std::io::Result<()> {
         loop {
-            let (mut head, mut byte) = (Vec::new(), [0]);
-            while !head.ends_with(b"\r\n\r\n") {
-                stream.read_exact(&mut byte)?;
-                head.extend(byte);
-            }
-            let head = String::from_utf8_lossy(&head).into_owned();
+            let head = read_head(&mut stream)?;
             let after = head
                 .split("after=")
                 .nth(1)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,8 +32,8 @@
 const LOYAL: f64 = 0.7;
 /// Sessions whose last commit is remembered where it isn't carried.
 const SESSIONS_KEPT: usize = 50_000;
-/// Between calls for the list after a failure, as a share of the time in which the list must be asked for, and
-/// the part of that after the first failure in a row: while none stands, changes are missed.
+/// Between calls for the list after a failure, as a share of the time in which the list must be asked for,
+/// and the part of that after the first failure in a row: while none stands, changes are missed.
 const ASK_SHARE: f64 = 0.1;
 const ASK_FIRST: f64 = 1.0 / 16.0;
 
@@ -88,6 +88,7 @@
     /// Smoothed part of the SLO time that setting up a connection costs.
     setup: f64,
     ask_at: Option<Point>,
+    /// Failed calls for the list in a row, and until when one more is of that row.
     #[serde(skip)]
     asks_failed: (i32, Point),
     #[serde(skip)]
@@ -215,16 +216,14 @@
         let ready = primary || self.is_checked(s) || self.covers(m, s);
         let goes = ready && self.may_send(m) && now < s.send_by.min(s.answer_by);
         let run = self.running.get_mut(&(stmt, number)).expect("seen above");
-        (run.awaits, run.sent) = if goes {
-            (false, now)
-        } else {
-            (run.awaits, run.sent)
-        };
+        if goes {
+            (run.awaits, run.sent) = (false, now);
+        }
         goes
     }
 
     /// Whether an answer may go to the client: not one that itself shows older data than the read allowed
-    /// when it was sent. A primary that was held up and deposed meanwhile answers what lay there, none the wiser.
+    /// when it was sent. A primary that was held up and deposed meanwhile answers what lay there.
     pub fn accepts(&self, stmt: u32, number: u8, s: Sighting) -> bool {
         let Some(run) = self.running.get(&(stmt, number)) else {
             return true;
@@ -297,12 +296,9 @@
     pub fn list_failed(&mut self, now: Point) -> Results {
         self.hear(now);
         let most = self.settings.list_ask_within * ASK_SHARE;
-        let in_a_row = if now - self.asks_failed.1 < most {
-            self.asks_failed.0 + 1
-        } else {
-            0
-        };
-        self.asks_failed = (in_a_row, now + most);
+        let (before, until) = self.asks_failed;
+        let in_a_row = if now < until { before + 1 } else { 0 };
+        self.asks_failed = (in_a_row, now + most * 2.0);
         let gap = most * (ASK_FIRST * 2f64.powi(in_a_row)).min(1.0) * (0.5 + self.chance.draw());
         self.ask_at = self.settings.list_on_request.then_some(now + gap);
         self.settle()
