--- a/review/1/case.py
+++ b/review/1/case.py
@@ -129,6 +129,7 @@
     driver.signal(signal.SIGTERM)
     while driver.is_running(driver.pids[0]) and now_ms() - told_to_end < KILL_AFTER_S * 1000:
         await asyncio.sleep(0.01)
+    record(f"{sum(client.served for client in clients)} usual requests served by the end")
     if driver.is_running(driver.pids[0]):
         unanswered = [client.open_request for client in clients if client.open_request]
         driver.signal(signal.SIGKILL)
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -114,6 +114,7 @@
         self.name, self.group, self.record = name, group, record
         self.work_ms, self.workloads = work_ms, workloads or {}
         self.ship_ms, self.apply_ms = ship_ms, apply_ms
+        self.apply_slowdown = 1.0  # a replica that lags applies the log so many times more slowly
         self.applied_at = []  # for each commit of the log, when it has been applied here
         self.executions = []  # (time in ms, statement id, workload)
         self.status, self.since_ms = "SERVING", 0
@@ -124,7 +125,7 @@
 
     def on_commit(self, at):
         free_at = self.applied_at[-1] if self.applied_at else 0
-        self.applied_at.append(max(at + self.ship_ms, free_at) + self.apply_ms)
+        self.applied_at.append(max(at + self.ship_ms, free_at) + self.apply_ms * self.apply_slowdown)
 
     def is_primary(self):
         return self.group.primary is self
