--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -388,7 +388,7 @@
         self.folder, self.record = Path(folder), record
         self.run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         self.log_path = self.folder / "driver.log"
-        self.process, self.pids = None, []
+        self.process, self.pids, self.upgrades = None, [], 0
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             self.listen = "127.0.0.1:%d" % free.getsockname()[1]
@@ -448,10 +448,10 @@
 
     async def begin_upgrade(self):
         """Asks the serving process for an upgrade to its own program (SIGUSR2); returns the new process."""
-        count = len(self.pids)
+        self.upgrades += 1
         self.signal(signal.SIGUSR2)
-        started = await self.wait_for_log(r"started \S+ as process (\d+)", count)
-        self.pids.append(int(started[count - 1]))
+        started = await self.wait_for_log(r"started \S+ as process (\d+)", self.upgrades)
+        self.pids.append(int(started[self.upgrades - 1]))
         return self.pids[-1]
 
     async def upgrade(self, seconds=60.0):
