--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 HERE = Path(__file__).resolve().parent
 STANDIN = HERE.parent / "standin"
 sys.path.insert(0, str(STANDIN))
-from standin import CannotRun, Client, Discovery, Driver, Group, Member, now_ms, play
+from standin import HELPERS, CannotRun, Client, Discovery, Driver, Group, Member, now_ms, play
 import random
 
 WORKLOADS = {"balance-view": "read", "history-view": "read", "payment-post": "write"}
@@ -122,6 +122,7 @@
         host, port = driver.listen.split(":")
         bad = subprocess.Popen([sys.executable, "-B", str(STANDIN / "badclients.py"), host, port, str(BAD_CLIENTS), "9"],
                                stdout=subprocess.PIPE, text=True)
+        HELPERS.append(bad)
         record(f"bad clients: {bad.stdout.readline().strip()}, {BAD_CLIENTS} connections")
     await asyncio.sleep(3)
     record(f"{sum(client.served for client in clients)} usual requests served so far")
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -22,6 +22,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+# Further processes of a case, ended with it.
+HELPERS = []
 
 
 def now_ms():
@@ -504,6 +506,10 @@
         record(f"CANNOT RUN {type(failure).__name__}: {failure}")
         verdict = CANNOT_RUN
     finally:
+        for helper in HELPERS:
+            if helper.poll() is None:
+                helper.kill()
+            helper.wait()
         for driver in drivers:
             driver.stop()
             if driver.log_path.exists():
