--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -497,6 +497,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"TROUBLE={int(trouble)}")
     drivers = []
+    # A case that is itself told to end still ends what it started.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(CANNOT_RUN))
     try:
         broken = asyncio.run(asyncio.wait_for(scenario(record, folder, trouble, drivers), limit_s))
         for line in broken:
