--- a/crates/driver/src/routing/event_loop/mod.rs
+++ b/crates/driver/src/routing/event_loop/mod.rs
@@ -183,10 +183,13 @@
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
-            let delay_us = (clock.now() - next).0;
+            let woken_at = clock.now();
+            let delay_us = (woken_at - next).0;
             self.metrics.wake_up_latest_us = self.metrics.wake_up_latest_us.max(delay_us);
             self.handle_queued(first, events, clock);
             self.advance_to(clock.now());
+            let turn_us = (clock.now() - woken_at).0;
+            self.metrics.turn_longest_us = self.metrics.turn_longest_us.max(turn_us);
         }
     }
 
--- a/crates/driver/src/routing/metrics.rs
+++ b/crates/driver/src/routing/metrics.rs
@@ -147,6 +147,8 @@
     queue_longest,
     /// Delay of a wake-up in microseconds (maximum).
     wake_up_latest_us,
+    /// Time in microseconds from a wake-up until timeouts and signals are handled (maximum).
+    turn_longest_us,
     /// Open statements (gauge).
     open_statements,
     /// Connected clients (gauge).
