Event loop runs in turns: clients that send without pause no longer delay signals and timeouts

Cause: EventLoop::handle_queued returned only with the queue empty, and control (signals, shutdown, reload, upgrade) and all timeouts ran behind it. A rejected command makes its client send the next one, so the queue never ran empty.

Change: turns (event_loop/turn.rs). Events of members, discovery, peers and signals and disconnects of clients are handled as they are taken from the queue; other events of clients wait and are handled for 5 ms, then timeouts and control run. This works since control events never wait behind client events, and a turn's length doesn't depend on the length of the queue. Timeouts run up to the time at which the queue was last read, so that an answer in the queue still counts.

--- a/crates/driver/src/routing/event_loop/mod.rs
+++ b/crates/driver/src/routing/event_loop/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! It owns the routing policy and the tables of clients, statements, requests and members. Handlers are
 //! grouped by the source of their events: `clients`, `members`, `discovery`, `gossip`, `peer_process`.
-//! `actions` carries out the policy's decisions, and `dispatch` sends requests to members.
+//! `turn` takes events from the queue and bounds the time until timeouts and control run, `actions` carries out
+//! the policy's decisions, and `dispatch` sends requests to members.
 
 mod actions;
 mod clients;
@@ -14,6 +15,7 @@
 mod in_doubt;
 mod members;
 mod peer_process;
+mod turn;
 
 use crate::routing::acceptor::Acceptor;
 use crate::routing::clients::Clients;
@@ -30,7 +32,6 @@
 use crate::routing::runtime_config::{MemoryBudgets, RuntimeConfig};
 use crate::routing::statements::Statements;
 use crate::routing::workloads::Workloads;
-use crate::transport::clock::Clock;
 use crate::transport::io_journal::IoJournalWriter;
 use asterlatch::interface::{ExecutionOutcome, ReplicaStatus, Settings};
 use asterlatch::policy::RoutingPolicy;
@@ -40,8 +41,6 @@
 pub use peer_process::{LearnedState, ResumedState};
 use std::collections::VecDeque;
 use std::fmt::Arguments;
-use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::Duration;
 
 /// Receives the log lines of the event loop.
 pub trait Logger {
@@ -103,6 +102,8 @@
     config: RuntimeConfig,
     limits: Limits,
     ended_requests: VecDeque<EndedRequest>,
+    /// Events of clients and the listener that were taken from the queue and not handled yet.
+    waiting_events: VecDeque<Event>,
     policy_wakes_at: Option<Timestamp>,
     acceptor: Acceptor,
     control_events: Vec<ControlEvent>,
@@ -155,6 +156,7 @@
             logger,
             metrics: Metrics::default(),
             ended_requests: VecDeque::new(),
+            waiting_events: VecDeque::new(),
             policy_wakes_at: Some(now),
             acceptor: Acceptor::default(),
             control_events: Vec::new(),
@@ -167,55 +169,6 @@
         }
     }
 
-    /// Handles events until `control` returns `None` or all senders are gone. `control` runs before each wait
-    /// and returns the latest time of its next run.
-    pub fn run(
-        &mut self,
-        events: &Receiver<Event>,
-        clock: Clock,
-        mut control: impl FnMut(&mut Self, Timestamp) -> Option<Timestamp>,
-    ) {
-        while let Some(control_at) = control(self, clock.now()) {
-            let next = self.next_at().min(control_at);
-            let wait = Duration::from_micros((next - clock.now()).0);
-            let first = match events.recv_timeout(wait) {
-                Ok(event) => Some(event),
-                Err(RecvTimeoutError::Timeout) => None,
-                Err(RecvTimeoutError::Disconnected) => return,
-            };
-            let woken_at = clock.now();
-            let delay_us = (woken_at - next).0;
-            self.metrics.wake_up_latest_us = self.metrics.wake_up_latest_us.max(delay_us);
-            self.handle_queued(first, events, clock);
-            self.advance_to(clock.now());
-            let turn_us = (clock.now() - woken_at).0;
-            self.metrics.turn_longest_us = self.metrics.turn_longest_us.max(turn_us);
-        }
-    }
-
-    /// Handles all queued events before any timeout, so that a request whose answer is in the queue does not
-    /// time out.
-    fn handle_queued(&mut self, first: Option<Event>, events: &Receiver<Event>, clock: Clock) {
-        let mut handled = 0;
-        let mut next = first;
-        while let Some(event) = next {
-            let batch: Vec<Event> = std::iter::once(event).chain(events.try_iter()).collect();
-            handled += batch.len() as u64;
-            self.on_events(batch, || clock.now());
-            next = events.try_recv().ok();
-        }
-        self.metrics.queue_longest = self.metrics.queue_longest.max(handled);
-    }
-
-    /// Handles a batch of events in order, after the client disconnects among them: capacity that one of
-    /// these frees must not go to a client whose disconnect is in the same batch.
-    pub fn on_events(&mut self, batch: Vec<Event>, now: impl Fn() -> Timestamp) {
-        self.on_disconnects_in_batch(now(), &batch);
-        for event in batch {
-            self.on_event(now(), event);
-        }
-    }
-
     /// Time of the next work for [`EventLoop::advance_to`].
     pub fn next_at(&self) -> Timestamp {
         let times = [
--- a/crates/driver/src/routing/metrics.rs
+++ b/crates/driver/src/routing/metrics.rs
@@ -143,11 +143,11 @@
     late_answers_dropped,
     /// Log lines suppressed by the rate limit.
     log_lines_left_out,
-    /// Events handled in one wake-up (maximum).
+    /// Events handled in one turn of the event loop (maximum).
     queue_longest,
     /// Delay of a wake-up in microseconds (maximum).
     wake_up_latest_us,
-    /// Time in microseconds from a wake-up until timeouts and signals are handled (maximum).
+    /// Duration of a turn in microseconds, after which timeouts and signals are handled (maximum).
     turn_longest_us,
     /// Open statements (gauge).
     open_statements,
--- a/crates/driver/tests/routing/harness.rs
+++ b/crates/driver/tests/routing/harness.rs
@@ -31,19 +31,30 @@
  "limits":{"cancel":true,"probes":true,"try_limit":10,"conn_idle_us":30000000,"connect_timeout_us":250000,
  "max_retry_after_us":500000},"report":{"fields":["x0","x1"],"how":"on_probe"},"tick_us":5000,"zones":["a"]}"#;
 
-pub(crate) struct NullLogger;
+/// Discards log lines.
+#[derive(Default)]
+pub(crate) struct TestLogger {
+    /// Called at each line.
+    pub(crate) on_line: Option<Box<dyn FnMut()>>,
+}
 
-impl Logger for NullLogger {
-    fn log(&mut self, _now: Timestamp, _topic: &'static str, _text: Arguments) {}
+impl Logger for TestLogger {
+    fn log(&mut self, _now: Timestamp, _topic: &'static str, _text: Arguments) {
+        if let Some(on_line) = &mut self.on_line {
+            on_line();
+        }
+    }
 }
 
+pub(crate) type TestEventLoop = EventLoop<TestLogger>;
+
 /// Opened member connections by id, with their address and received commands. A dropped sender means closed.
 pub(crate) type MemberConnections = Rc<RefCell<BTreeMap<u32, (String, Receiver<MemberCommand>)>>>;
 /// Discovery requests in order. A dropped sender means that the connection is closed.
 pub(crate) type DiscoveryRequestLog = Rc<RefCell<Vec<(DiscoveryRequest, Receiver<Infallible>)>>>;
 
 pub(crate) struct Harness {
-    pub(crate) event_loop: EventLoop<NullLogger>,
+    pub(crate) event_loop: TestEventLoop,
     pub(crate) now: Timestamp,
     pub(crate) member_connections: MemberConnections,
     pub(crate) requests: DiscoveryRequestLog,
@@ -156,7 +167,7 @@
             .and_then(|p| read(&p))
             .expect("read the settings");
         Harness {
-            event_loop: EventLoop::new(&settings, decoding, options, START, NullLogger),
+            event_loop: EventLoop::new(&settings, decoding, options, START, TestLogger::default()),
             now: START,
             member_connections,
             requests,
--- a/crates/driver/tests/routing/main.rs
+++ b/crates/driver/tests/routing/main.rs
@@ -7,3 +7,4 @@
 mod harness;
 mod members;
 mod statements;
+mod turns;
