A load report's position no longer counts as the members' present

Cause: a health check's answer is a load report made at intervals (59 to 230 ms there), but its position was taken as stamped while the member executed. A primary's report, 92 ms old, became an upper bound of the members' clock; replicas counted as that much fresher.

The replica's own position was as reported, and no primary was deposed.

Change: ReplicaStatus::is_position_current tells a position determined for the answer (as_of) from one of a load report; only the former bounds the clock from above, with answers of statements as with health checks.

Test: on_statement_load_report_of_primary_does_not_make_replicas_fresher failed on the code before (run). Statuses in other tests stand for answers with as_of, as before.

--- a/crates/driver/src/protocol/member_connection.rs
+++ b/crates/driver/src/protocol/member_connection.rs
@@ -107,6 +107,7 @@
         match name {
             replica_status::POSITION => {
                 self.status.position = text.and_then(replica_status::parse_position);
+                self.status.is_position_current = self.status.position.is_some();
             }
             replica_status::ROLE => self.status.is_primary = text.and_then(replica_status::parse_role),
             replica_status::LOAD_REPORT => self.report = text.map(str::to_owned),
--- a/crates/driver/src/routing/gossip/status_batch.rs
+++ b/crates/driver/src/routing/gossip/status_batch.rs
@@ -126,12 +126,14 @@
     if role_at > 0 {
         statuses.push(ReplicaStatus {
             position: at(role_at),
+            is_position_current: false,
             is_primary: Some(record.primary_at >= record.replica_at),
         });
     }
     if record.position > role_at {
         statuses.push(ReplicaStatus {
             position: at(record.position),
+            is_position_current: false,
             is_primary: None,
         });
     }
--- a/crates/driver/tests/protocol/messages.rs
+++ b/crates/driver/tests/protocol/messages.rs
@@ -33,7 +33,11 @@
 #[test]
 fn parse_load_report_and_parse_position_round_down() {
     let at = |ms: u64| Some(RemoteTimestamp::from_millis(ms));
-    let expected_status = |position, is_primary| ReplicaStatus { position, is_primary };
+    let expected_status = |position, is_primary| ReplicaStatus {
+        position,
+        is_position_current: false,
+        is_primary,
+    };
     #[rustfmt::skip]
     let cases = [
         ("x0=1767225600.123,x1=1,cpu_share=0.5", expected_status(at(1_767_225_600_123), Some(true))),
--- a/crates/driver/tests/routing/harness.rs
+++ b/crates/driver/tests/routing/harness.rs
@@ -232,6 +232,7 @@
         let (at, report) = (self.now, None);
         let status = ReplicaStatus {
             position: Some(self.remote_now()),
+            is_position_current: true,
             is_primary,
         };
         self.member_event(MemberEvent::Replied {
--- a/crates/driver/tests/routing/statements.rs
+++ b/crates/driver/tests/routing/statements.rs
@@ -123,6 +123,7 @@
         let (connection, first) = harness.next_query().expect("the statement is sent");
         let status = ReplicaStatus {
             position: Some(harness.remote_now() - TimeSpan::millis(staleness_ms)),
+            is_position_current: true,
             is_primary: None,
         };
         let (reply, at, report) = (rows("old"), harness.now, None);
--- a/crates/driver/tests/routing/turns.rs
+++ b/crates/driver/tests/routing/turns.rs
@@ -145,6 +145,7 @@
         reply: Reply::Rows(b"v".to_vec()),
         status: ReplicaStatus {
             position: Some(harness.remote_now()),
+            is_position_current: true,
             is_primary: Some(true),
         },
         report: None,
--- a/crates/simhost/src/decode.rs
+++ b/crates/simhost/src/decode.rs
@@ -131,6 +131,7 @@
     let epoch = RemoteTimestamp(decoding.position_epoch.0);
     Ok(ReplicaStatus {
         position: seconds.map(|s| epoch + TimeSpan::millis(milliseconds(s))),
+        is_position_current: false,
         is_primary: value(decoding.role_field).map(|role| role == 1.0),
     })
 }
@@ -142,6 +143,7 @@
     let epoch = RemoteTimestamp(decoding.position_epoch.0);
     ReplicaStatus {
         position: has_position.then(|| epoch + TimeSpan::millis(milliseconds)),
+        is_position_current: has_position,
         is_primary: match status_bits % 4 {
             1 => Some(true),
             2 => Some(false),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -220,6 +220,9 @@
 pub struct ReplicaStatus {
     /// Log position (LSN), as the time of the newest commit that it contains.
     pub position: Option<RemoteTimestamp>,
+    /// Whether the member determined its position for this answer. The position in a load report is older:
+    /// members make load reports at intervals.
+    pub is_position_current: bool,
     /// Whether the member acts as primary.
     pub is_primary: Option<bool>,
 }
@@ -227,8 +230,14 @@
 impl ReplicaStatus {
     /// Combines two reports: the later position, and the first stated role.
     pub fn merge(self, other: ReplicaStatus) -> ReplicaStatus {
+        let latest = if self.position >= other.position {
+            self
+        } else {
+            other
+        };
         ReplicaStatus {
-            position: self.position.max(other.position),
+            position: latest.position,
+            is_position_current: latest.is_position_current,
             is_primary: self.is_primary.or(other.is_primary),
         }
     }
--- a/src/policy/evidence.rs
+++ b/src/policy/evidence.rs
@@ -102,7 +102,7 @@
             member: member.id,
             stamp,
             received_at: self.now,
-            stamped_after: stamped_after.filter(|_| is_primary),
+            stamped_after: stamped_after.filter(|_| is_primary && status.is_position_current),
         };
         let was_known = self.remote_clock.latest(self.now).is_some();
         self.remote_clock.observe(&answer);
--- a/src/remote_clock.rs
+++ b/src/remote_clock.rs
@@ -13,7 +13,7 @@
 //!   remote clock was at `r` or later at `t`: a lower bound.
 //! - The position of a member that acts as primary is current while it executes. Its answer with stamp `r` to
 //!   an execution dispatched at local time `s` shows that the remote clock was at `r` or earlier at `s`: an
-//!   upper bound.
+//!   upper bound. The position in a load report is not: it was current when the report was made.
 //!
 //! Only direct answers of members are evidence, not reports from clients and other drivers. Starts of members
 //! in a complete endpoint list provide a lower bound until answers provide a better one.
@@ -202,7 +202,7 @@
     /// Local time of the receipt, or later.
     pub received_at: Timestamp,
     /// Local time of the dispatch or earlier, if the member acted as primary and stamped the answer while
-    /// executing.
+    /// executing. `None` for the position in a load report.
     pub stamped_after: Option<Timestamp>,
 }
 
--- a/tests/clocks.rs
+++ b/tests/clocks.rs
@@ -93,10 +93,18 @@
 fn status(position: u64, is_primary: bool) -> ReplicaStatus {
     ReplicaStatus {
         position: Some(remote_at(position)),
+        is_position_current: true,
         ..replica_status(0, is_primary)
     }
 }
 
+fn load_report(position: u64, is_primary: bool) -> ReplicaStatus {
+    ReplicaStatus {
+        is_position_current: false,
+        ..status(position, is_primary)
+    }
+}
+
 fn without_read_checks() -> Settings {
     settings_with(|s| s.members_check_reads = false)
 }
@@ -208,6 +216,27 @@
     }
 }
 
+/// Guards against stale reads: a load report of the primary, made a while before it was requested, set the
+/// estimate of the members' clock back.
+#[test]
+fn on_statement_load_report_of_primary_does_not_make_replicas_fresher() {
+    for offset in OFFSETS {
+        let mut driver = Driver::with_members(&without_read_checks(), offset);
+        let (now, round_trip) = (driver.at(1000), ms(2));
+        for (member, position, is_primary) in [(1, 800, true), (2, 780, false)] {
+            let report = load_report(position, is_primary);
+            driver
+                .policy
+                .on_health_check(now, member, true, round_trip, report);
+        }
+        // The bound is 300 ms, and the replica's position is 310 ms old.
+        assert_eq!(driver.route(1090, BOUNDED), [1], "{offset}");
+        // A load report that comes with an answer is as old.
+        driver.end_execution(1095, Rejected, 1, load_report(800, true));
+        assert_eq!(driver.route(1096, BOUNDED), [1], "{offset}");
+    }
+}
+
 /// A session position or a report from the future must not make reads stale or slow.
 #[test]
 fn on_statement_positions_from_clients_and_peers_are_no_evidence() {
@@ -479,6 +508,7 @@
     driver.policy.advance_to(ahead_at(10));
     let role = ReplicaStatus {
         position: None,
+        is_position_current: false,
         is_primary: Some(true),
     };
     driver.policy.on_health_check(ahead_at(990), 1, true, ms(2), role);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -276,6 +276,7 @@
 pub(crate) fn replica_status(position: u64, is_primary: bool) -> ReplicaStatus {
     ReplicaStatus {
         position: Some(remote_at(position)),
+        is_position_current: true,
         is_primary: Some(is_primary),
     }
 }
--- a/tests/member_updates.rs
+++ b/tests/member_updates.rs
@@ -15,6 +15,7 @@
 ) -> Actions {
     let status = ReplicaStatus {
         position: position.map(remote_at),
+        is_position_current: true,
         is_primary: acts_as_primary,
     };
     harness
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -118,6 +118,7 @@
         let lag = ms(self.rng.u64(0..400));
         let reported = ReplicaStatus {
             position: self.rng.bool().then_some(self.remote_now() - lag),
+            is_position_current: true,
             is_primary: Some(member < 3),
         };
         let reported = if ending == ExecutionOutcome::Completed {
@@ -173,6 +174,7 @@
                 let position = Some(self.remote_now() - ms(self.rng.u64(0..200)));
                 let status = ReplicaStatus {
                     position,
+                    is_position_current: true,
                     is_primary: Some(member < 3),
                 };
                 self.apply(|d, now| d.on_health_check(now, member, is_answered, ms(1), status));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -485,6 +485,7 @@
         assert_eq!(actions.executions.len(), 1);
         let answer_status = ReplicaStatus {
             position: answer_position.map(remote_at),
+            is_position_current: true,
             is_primary: Some(true),
         };
         assert_eq!(
