The statement of a client that is accepted and gone in one batch is not dispatched

Change: disconnects of clients that are still to be admitted are noted as they are taken from the queue; an admitted client that has one counts as having ended its input, so its statements get an answer and no attempt. The notes end with the waiting events.

Test: on_events_client_accepted_and_disconnected_in_batch_starts_no_attempt failed before (one execution) and passes. Not seen in a run of the service.

--- a/crates/driver/src/routing/event_loop/clients.rs
+++ b/crates/driver/src/routing/event_loop/clients.rs
@@ -49,6 +49,10 @@
             Admission::AdmittedByEviction => self.metrics.clients_evicted += 1,
             Admission::Rejected => self.metrics.clients_rejected += 1,
         }
+        if self.disconnected_before_admission.remove(&id) {
+            // Its queued statements must not be dispatched.
+            self.clients.on_input_ended(id);
+        }
     }
 
     pub(super) fn on_accept_failed(&mut self, now: Timestamp, error: &io::Error) {
@@ -104,14 +108,19 @@
         }
     }
 
-    /// Withdraws the statements of all clients that disconnect in a batch. Clients accepted in the same batch
-    /// are skipped; their disconnects are handled in order.
+    /// Withdraws the statements of all clients that disconnect in a batch. The disconnects of clients that
+    /// were accepted and are not admitted yet are noted for their admission.
     pub(super) fn on_disconnects_in_batch(&mut self, now: Timestamp, batch: &[Event]) {
         let mut disconnects = Vec::new();
         for event in batch {
+            let Event::Client(event) = event else { continue };
             match event {
-                Event::Client(event) if self.is_known_disconnect(event) => {
-                    disconnects.extend(self.disconnects_of(event));
+                ClientEvent::InputEnded { client } | ClientEvent::Closed { client } => {
+                    if self.clients.contains(*client) {
+                        disconnects.extend(self.disconnects_of(event));
+                    } else {
+                        self.disconnected_before_admission.insert(*client);
+                    }
                 }
                 _ => {}
             }
@@ -119,15 +128,6 @@
         self.withdraw_statements(now, &disconnects);
     }
 
-    fn is_known_disconnect(&self, event: &ClientEvent) -> bool {
-        match event {
-            ClientEvent::InputEnded { client } | ClientEvent::Closed { client } => {
-                self.clients.contains(*client)
-            }
-            _ => false,
-        }
-    }
-
     /// The open statements of a client that disconnects. A client whose connection is closed is removed.
     fn disconnects_of(&mut self, event: &ClientEvent) -> Vec<ClientDisconnect> {
         let (statements, awaits_answer) = match event {
--- a/crates/driver/src/routing/event_loop/mod.rs
+++ b/crates/driver/src/routing/event_loop/mod.rs
@@ -39,7 +39,7 @@
 use asterlatch_settings::Decoding;
 pub use configuration::{MemberCounts, ProcessUsage, ServiceCapacity};
 pub use peer_process::{LearnedState, ResumedState};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::fmt::Arguments;
 
 /// Receives the log lines of the event loop.
@@ -104,6 +104,8 @@
     ended_requests: VecDeque<EndedRequest>,
     /// Events of clients and the listener that were taken from the queue and not handled yet.
     waiting_events: VecDeque<Event>,
+    /// Clients whose disconnect was taken from the queue while their admission is among the waiting events.
+    disconnected_before_admission: BTreeSet<u32>,
     policy_wakes_at: Option<Timestamp>,
     acceptor: Acceptor,
     control_events: Vec<ControlEvent>,
@@ -157,6 +159,7 @@
             metrics: Metrics::default(),
             ended_requests: VecDeque::new(),
             waiting_events: VecDeque::new(),
+            disconnected_before_admission: BTreeSet::new(),
             policy_wakes_at: Some(now),
             acceptor: Acceptor::default(),
             control_events: Vec::new(),
--- a/crates/driver/src/routing/event_loop/turn.rs
+++ b/crates/driver/src/routing/event_loop/turn.rs
@@ -120,6 +120,7 @@
             }
         }
         self.waiting_events.shrink_to(KEPT_CAPACITY);
+        self.disconnected_before_admission.clear();
         handled
     }
 }
--- a/crates/driver/tests/routing/client_disconnects.rs
+++ b/crates/driver/tests/routing/client_disconnects.rs
@@ -5,6 +5,9 @@
 use asterlatch_driver::protocol::client_events::{ClientEvent, StatementText};
 use asterlatch_driver::protocol::member_connection::{MemberCommand, MemberEvent};
 use asterlatch_driver::routing::events::Event;
+use asterlatch_driver::transport::connection::ConnectionHandle;
+use asterlatch_driver::transport::listener::AcceptEvent;
+use std::sync::mpsc::channel;
 
 const CLIENTS: u32 = 1000;
 const LONG_WRITE: &str = "c=post,d=60000,cluster=1";
@@ -24,6 +27,17 @@
     Event::Client(ClientEvent::Closed { client })
 }
 
+fn client_statement(harness: &Harness, client: u32) -> Event {
+    let text = "/* id=1,c=view,d=900,cluster=1 */ SELECT blob FROM rows WHERE handle = 'k'";
+    Event::Client(ClientEvent::Statement {
+        client,
+        number: 0,
+        end: 0,
+        text: StatementText::new(text, &harness.client_memory).expect("reserve memory for the statement"),
+        at: harness.now,
+    })
+}
+
 fn input_ended(client: u32) -> Event {
     Event::Client(ClientEvent::InputEnded { client })
 }
@@ -47,21 +61,32 @@
 #[test]
 fn on_events_statement_before_input_ended_in_batch_is_not_dispatched() {
     let mut harness = harness_with_client();
-    let text = "/* id=1,c=view,d=900,cluster=1 */ SELECT blob FROM rows WHERE handle = 'k'";
-    let statement = ClientEvent::Statement {
-        client: 1,
-        number: 0,
-        end: 0,
-        text: StatementText::new(text, &harness.client_memory).expect("reserve memory for the statement"),
-        at: harness.now,
-    };
     let now = harness.now;
-    let batch = vec![Event::Client(statement), input_ended(1)];
+    let batch = vec![client_statement(&harness, 1), input_ended(1)];
     harness.event_loop.on_events(batch, || now);
     assert_eq!(harness.received(1), "53300");
     assert_eq!(harness.event_loop.metrics.executions_sent, 0);
 }
 
+/// Guards against late attempts: the statement of a client was dispatched though its disconnect was queued,
+/// because the client itself was still to be admitted.
+#[test]
+fn on_events_client_accepted_and_disconnected_in_batch_starts_no_attempt() {
+    for disconnect in [connection_closed, input_ended] {
+        let mut harness = Harness::new(SETTINGS, 1024, 192 << 20);
+        let (sender, commands) = channel();
+        let accepted = AcceptEvent::Client(1, ConnectionHandle::to_channel(sender));
+        harness.clients.insert(1, commands);
+        let statement = client_statement(&harness, 1);
+        let now = harness.now;
+        let batch = vec![Event::Accept(accepted), statement, disconnect(1)];
+        harness.event_loop.on_events(batch, || now);
+        assert_eq!(harness.event_loop.metrics.executions_sent, 0);
+        assert_eq!(harness.received(1), "53300");
+        assert_eq!(harness.event_loop.open_statements(), 0);
+    }
+}
+
 #[test]
 fn on_events_input_ended_answers_each_open_statement_once() {
     let mut harness = harness_with_client();
