Literals of a command are checked by counting quotes

One event can't be interrupted, so a turn lasts as long as its longest event; a command of 3 MB of quotes took the event loop 50 ms, since each quote was searched for and copied singly.

Change: all literals are terminated if and only if the number of quotes is even, which one pass over the bytes tells; only the first literal is unescaped.

Test: parse_literals_of_any_form_equal_a_plain_scan compares 20,000 random texts with a plain scan; it passes on the code before as well, as the result is the same. The cost has no test.

--- a/crates/driver/src/protocol/statement_comment.rs
+++ b/crates/driver/src/protocol/statement_comment.rs
@@ -66,6 +66,8 @@
 pub const TOO_MANY_CONNECTIONS: StatementError = error("53300", "too many connections");
 /// The statement exceeds the message limit.
 pub const TOO_LARGE: StatementError = error("54000", "the statement or its value is too large");
+/// Delimiter of literals.
+const QUOTE: u8 = b'\'';
 /// A quoted literal lacks its closing quote.
 const UNTERMINATED_LITERAL: StatementError = error("42601", "a quoted literal doesn't end");
 
@@ -78,26 +80,29 @@
 
 /// The first quoted literal, with doubled quotes unescaped. All literals must be terminated.
 fn first_literal(text: &str) -> Result<Option<String>, StatementError> {
-    let mut first = None;
-    let mut rest = text;
-    while let Some(start) = rest.find('\'') {
-        let mut literal = String::new();
-        rest = &rest[start + 1..];
-        loop {
-            let end = rest.find('\'').ok_or(UNTERMINATED_LITERAL)?;
-            if first.is_none() {
-                literal.push_str(&rest[..end]);
-            }
-            rest = &rest[end + 1..];
-            match rest.strip_prefix('\'') {
-                Some(after) => rest = after,
-                None => break,
-            }
-            literal.push('\'');
+    // Each quote begins or ends a literal; a doubled one ends it and begins it again.
+    let quotes = text.bytes().filter(|byte| *byte == QUOTE).count();
+    if quotes % 2 != 0 {
+        return Err(UNTERMINATED_LITERAL);
+    }
+    let Some(start) = text.find('\'') else {
+        return Ok(None);
+    };
+    let rest = &text[start + 1..];
+    Ok(Some(unescape_literal(rest)))
+}
+
+/// The text of a terminated literal, given what follows its opening quote.
+fn unescape_literal(rest: &str) -> String {
+    let mut literal = Vec::new();
+    let mut bytes = rest.bytes();
+    while let Some(byte) = bytes.next() {
+        if byte == QUOTE && bytes.next() != Some(QUOTE) {
+            break;
         }
-        first.get_or_insert(literal);
+        literal.push(byte);
     }
-    Ok(first)
+    String::from_utf8(literal).expect("only whole quotes were removed")
 }
 
 /// The required fields found so far.
--- a/crates/driver/tests/protocol/statement_comment.rs
+++ b/crates/driver/tests/protocol/statement_comment.rs
@@ -63,3 +63,45 @@
     };
     assert!(id("7").is_ok() && id("7") == id("7") && id("7") != id("8"));
 }
+
+/// Key and error for literals of any form, compared with a scan that reads one character after another.
+#[test]
+fn parse_literals_of_any_form_equal_a_plain_scan() {
+    let mut rng = fastrand::Rng::with_seed(11);
+    for _ in 0..20_000 {
+        let length = rng.usize(0..12);
+        let literals: String = (0..length)
+            .map(|_| rng.choice(["'", "'", "a", "\u{e9}", " "]).unwrap_or_default())
+            .collect();
+        let text = format!("/* id=1,c=a,d=1,cluster=1 */{literals}");
+        let parsed = statement_comment::parse(&text).map(|comment| comment.key);
+        assert_eq!(
+            parsed.map_err(|error| error.code),
+            scan_literals(&literals),
+            "{literals:?}"
+        );
+    }
+}
+
+/// The first literal of a text, or the error code for an unterminated one.
+fn scan_literals(text: &str) -> Result<Option<String>, &'static str> {
+    let mut first = None;
+    let mut open: Option<String> = None;
+    let mut characters = text.chars().peekable();
+    while let Some(character) = characters.next() {
+        open = match (open, character) {
+            (None, '\'') => Some(String::new()),
+            (None, _) => None,
+            (Some(literal), '\'') if characters.next_if_eq(&'\'').is_some() => Some(literal + "'"),
+            (Some(literal), '\'') => {
+                first.get_or_insert(literal);
+                None
+            }
+            (Some(literal), other) => Some(literal + &other.to_string()),
+        };
+    }
+    match open {
+        Some(_) => Err("42601"),
+        None => Ok(first),
+    }
+}
