Comments: reasons and numbers that the rewording dropped

Put back where a maintainer needs them and they still hold: DESIGN's initial overdue limit; why twice the load of warm members, and a hundred drivers as a large fleet; when the planned fraction is 0.78; what round robin costs in large fleets, and hundreds of health checks of a new member; how fast a report loses its weight; why socket counters are read twice; the sixteenth that a message may take; what an unnamed socket error ends; why zone names are normalized. No code changed.

--- a/crates/config/src/service_schema.rs
+++ b/crates/config/src/service_schema.rs
@@ -271,7 +271,8 @@
     all
 }
 
-/// With less memory than one statement needs, two statements would already cause each other's rejection.
+/// With less memory than one statement needs, two statements would already cause each other's rejection. A
+/// message may take up to a sixteenth of the memory.
 fn check_memory_minimum(schema: &Schema, settings: &ResolvedSettings, machine: Machine) -> Vec<Conflict> {
     let too_small = |setting: &str| {
         let memory_bytes = share_of(machine.memory, settings.amount(schema, "memory", setting));
--- a/crates/coordination/src/load_aggregate.rs
+++ b/crates/coordination/src/load_aggregate.rs
@@ -6,8 +6,9 @@
 //!
 //! Blending preserves the mean: only answers change the total that the drivers admit, so drivers that act on
 //! the same report don't oscillate. The weight of a report halves every [`AggregateSettings::half_life`], so
-//! an isolated driver soon acts on its own answers. The answers behind a report are capped: one faulty driver
-//! of `n` moves a share by at most an `n`th of the difference.
+//! a report that is ten seconds old changes almost nothing, and an isolated driver soon acts on its own answers.
+//! The answers behind a report are capped: one faulty driver of `n` moves a share by at most an `n`th of the
+//! difference.
 
 use crate::NameHash;
 use asterlatch::time::{TimeSpan, Timestamp};
--- a/crates/driver/src/routing/members.rs
+++ b/crates/driver/src/routing/members.rs
@@ -155,7 +155,7 @@
         Some(MemberEntry {
             id,
             fleet_key: fleet_key(&endpoint.name),
-            // Zone names in the settings are normalized the same way.
+            // Zone names in the settings were normalized too: their spaces and commas are replaced.
             zone: self.zones.intern(&normalize_name(&endpoint.zone)) as u16,
             group: endpoint.group,
             state: match endpoint.status {
--- a/crates/driver/src/transport/socket_counts.rs
+++ b/crates/driver/src/transport/socket_counts.rs
@@ -66,7 +66,8 @@
 }
 
 /// Bytes that all processes together have read from and written to a socket. No process may use the socket
-/// during the call. Its peer may: counters that changed while they were read are read again.
+/// during the call. Its peer may: counters that changed while they were read are read again, since a byte or an
+/// acknowledgement that arrives between two reads would be counted twice or not at all.
 ///
 /// # Errors
 /// If the counters cannot be read, or kept changing.
--- a/crates/driver/src/transport/socket_errors.rs
+++ b/crates/driver/src/transport/socket_errors.rs
@@ -71,6 +71,8 @@
 const HOST_OUT_OF_RESOURCES: SocketError = transient(Origin::Host, NextStep::RetryLater);
 const HOST_REFUSED: SocketError = permanent(Origin::Host);
 const CONNECTION_BROKEN: SocketError = permanent(Origin::Peer);
+/// Also every error that the manual pages don't name for the call; it ends the socket that it befell and nothing
+/// else.
 const PROGRAM_ERROR: SocketError = permanent(Origin::Program);
 
 /// The `errno` value; 0, which no call reports, for errors that do not come from the kernel.
--- a/src/concurrency_limit.rs
+++ b/src/concurrency_limit.rs
@@ -19,7 +19,8 @@
 /// overloaded.
 pub(crate) const MAX_LATENCY_RATIO: f64 = 0.8;
 
-/// Maximum time for which a member may leave executions unanswered before it is ejected.
+/// Maximum time for which a member may leave executions unanswered before it is ejected: the initial overdue
+/// limit of DESIGN.
 pub(crate) const MAX_UNANSWERED_TIME: TimeSpan = TimeSpan::millis(1000);
 /// The same as a multiple of the maximum typical latency, for a member with many executions in flight.
 pub(crate) const MAX_UNANSWERED_LATENCIES: f64 = 4.0;
--- a/src/fleet_share.rs
+++ b/src/fleet_share.rs
@@ -23,11 +23,12 @@
 /// Maximum variance of one randomly rounded number.
 const MAX_ROUNDING_VARIANCE: f64 = 0.25;
 /// Load sent to a warming member whose fast answers prove that it sustains more than expected, as a multiple
-/// of the load of warm members. Too high a multiple would fill queues, too low a one would leave such members
+/// of the load of warm members. Twice this multiple would fill queues, half of it would leave such members
 /// idle.
 const PROVEN_LOAD_MULTIPLE: f64 = 2.0;
 /// Number of drivers from which on none has enough samples to prove what a warming member sustains, so that
-/// each sends as if that were proven. The sum of their dispatches deviates little from its mean.
+/// each sends as if that were proven. The sum of their dispatches stays within a tenth of its mean, one part
+/// in the square root of their number.
 const LARGE_FLEET_DRIVERS: f64 = 100.0;
 
 /// Share of one driver in its fleet.
@@ -69,13 +70,15 @@
     }
 
     /// Whether a member of unknown state gets an initial health check. Not in large fleets where members
-    /// check reads: a rejected read costs little, whereas every driver would check a new member at once.
+    /// check reads: a rejected read costs little, whereas all drivers together would check each new member
+    /// hundreds of times at once.
     pub fn checks_new_members(self, members_check_reads: bool) -> bool {
         !members_check_reads || !self.is_large()
     }
 
     /// Whether a driver sends reads to one preferred replica per group. In large fleets round robin would
-    /// keep a connection open between every driver and every replica, at little traffic.
+    /// keep a connection open between every driver and every replica, at little traffic, which costs more
+    /// than the uneven choices of single drivers.
     pub fn uses_preferred_replica(self) -> bool {
         self.is_large()
     }
@@ -88,7 +91,7 @@
 
     /// Fraction of a warming member's allowed load for which all drivers plan together, so that their
     /// budgets, each rounded at random to whole calls, stay within the slow-start limit. From 0.78 (many
-    /// drivers) to 1 (few drivers).
+    /// drivers with less than one call each) to 1 (few drivers).
     pub fn planned_fraction(self) -> f64 {
         self.planned_fraction
     }
