A successor polls the endpoint list by itself

Evidence: discovery_calls=0 at the successor while discovery answered the predecessor; where the list is watched the call comes.

Change: EventLoop::resume makes the first request due. It doesn't depend on what the predecessor has open, and on_poll_failed or the next list take over from there.

Test: handover_successor_polls_endpoint_list_by_itself failed before (endpoint_lists_applied stays 0 for 30 s), passes in 0.9 s.

--- a/crates/driver/src/routing/discovery_requests.rs
+++ b/crates/driver/src/routing/discovery_requests.rs
@@ -72,6 +72,12 @@
         self.known_version = Some(version).filter(|_| self.is_polled);
     }
 
+    /// Makes the next request due, for a process that resumes from another one's state: the request in flight
+    /// there, for which the policy's state waits, is not this process's own.
+    pub fn resume(&mut self, now: Timestamp) {
+        self.retry_at = Some(now);
+    }
+
     /// Makes the next request ask for the complete list, because discovery does not have the known version.
     pub fn forget_version(&mut self) {
         self.known_version = None;
--- a/crates/driver/src/routing/event_loop/peer_process.rs
+++ b/crates/driver/src/routing/event_loop/peer_process.rs
@@ -43,6 +43,7 @@
         self.policy = RoutingPolicy::resume(state.policy, settings, false, now);
         self.members = state.members;
         self.policy_wakes_at = Some(now);
+        self.discovery_requests.resume(now);
     }
 
     /// Sets whether a peer process is serving.
--- a/crates/driver/tests/harness/mod.rs
+++ b/crates/driver/tests/harness/mod.rs
@@ -470,7 +470,16 @@
     faults: &FaultPlan,
 ) -> OperatedDriver {
     let text = config_text(unused_address(), unresponsive_discovery(), member);
-    let mut process = start_driver_with_faults(name, &text, arguments, faults);
+    start_with_operators_file_and_config(name, &text, arguments, faults)
+}
+
+pub(crate) fn start_with_operators_file_and_config(
+    name: &str,
+    text: &str,
+    arguments: &[&str],
+    faults: &FaultPlan,
+) -> OperatedDriver {
+    let mut process = start_driver_with_faults(name, text, arguments, faults);
     let stderr = process.child.stderr.take().expect("stderr is piped");
     let (line_sender, log_lines) = channel();
     thread::spawn(move || {
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -1,6 +1,7 @@
 //! Upgrades of the running driver: handover to a successor, and successors that fail.
 
 mod harness;
+use asterlatch_fault_injection::FaultPlan;
 use harness::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
@@ -23,14 +24,16 @@
 
 impl UpgradeHarness {
     fn new(name: &str, member: &Member, settings: &str) -> UpgradeHarness {
+        let config = config_text(unused_address(), unresponsive_discovery(), member.address);
+        UpgradeHarness::with_config(name, &config, settings)
+    }
+
+    fn with_config(name: &str, config: &str, settings: &str) -> UpgradeHarness {
         let folder = TempFolder::new(name);
         let file = folder.write("o.latch", settings);
         let control = folder.path("control");
-        let driver = start_with_operators_file(
-            name,
-            member.address,
-            &["--operators", &file, "--control", &control],
-        );
+        let arguments = ["--operators", &file, "--control", &control];
+        let driver = start_with_operators_file_and_config(name, config, &arguments, &FaultPlan::default());
         UpgradeHarness {
             folder,
             driver,
@@ -114,6 +117,15 @@
         self.driver.wait_for_log("configuration: reloaded");
     }
 
+    /// Executes a read that times out after 300 ms on a new connection, and returns the kinds of the answer's
+    /// messages.
+    fn execute_short_read(&self, id: u32) -> String {
+        let mut client = self.driver.process.connect();
+        let text = format!("/* id={id},c=view,d=300,cluster=1 */ SELECT {id}\0");
+        client.write_all(&message(b'Q', text.as_bytes())).expect("send");
+        read_answer(&mut client).0
+    }
+
     /// Executes one statement on a new connection and returns the kinds of the answer's messages.
     fn execute(&self, workload: &str, id: u32) -> String {
         let mut client = self.driver.process.connect();
@@ -699,6 +711,13 @@
     assert_eq!(executions.len(), 10, "each statement is executed once");
 }
 
+fn list_entry(member: &Member, status: &str) -> String {
+    format!(
+        r#"{{"name":"m","address":"{}","zone":"a","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#,
+        member.address
+    )
+}
+
 /// Starts a discovery service that serves this endpoint list, and holds watch requests until a newer one is
 /// set.
 fn start_discovery(list: &Arc<Mutex<(u64, String)>>) -> std::net::SocketAddr {
@@ -742,13 +761,7 @@
         let member = start_member(MemberBehavior::Answer);
         let settings = HANDOVER_SETTINGS.replace("probation = 200ms", "probation = 10min");
         let mut harness = UpgradeHarness::new(&format!("drain-{notifies_successor}"), &member, &settings);
-        let entry = |status: &str| {
-            format!(
-                r#"{{"name":"m","address":"{}","zone":"a","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#,
-                member.address
-            )
-        };
-        let list = Arc::new(Mutex::new((2, entry("SERVING"))));
+        let list = Arc::new(Mutex::new((2, list_entry(&member, "SERVING"))));
         let discovery_address = start_discovery(&list);
         // Only one process is configured with this discovery service; that of the other is unresponsive.
         let path = harness.driver.process.path.clone();
@@ -770,7 +783,7 @@
         let (pid, _upgrade_request) = harness.begin_upgrade();
         harness.pid = Some(pid);
         assert_eq!(harness.execute("view", 1), "T D C Z");
-        *list.lock().expect("lock the endpoint list") = (3, entry("DRAINING"));
+        *list.lock().expect("lock the endpoint list") = (3, list_entry(&member, "DRAINING"));
         let other_pid = if notifies_successor {
             harness.driver.process.child.id()
         } else {
@@ -778,10 +791,7 @@
         };
         harness.wait_for_counter(other_pid, "drains_from_peer_process=1 ");
         // The only member drains, so the read is rejected.
-        let mut client = harness.driver.process.connect();
-        let text = "/* id=2,c=view,d=300,cluster=1 */ SELECT 2\0";
-        client.write_all(&message(b'Q', text.as_bytes())).expect("send");
-        assert_eq!(read_answer(&mut client).0, "E53300 Z", "{notifies_successor}");
+        assert_eq!(harness.execute_short_read(2), "E53300 Z", "{notifies_successor}");
         assert_eq!(
             take_execution_counts(&member).values().sum::<u32>(),
             1,
@@ -790,6 +800,28 @@
     }
 }
 
+/// Guards against a successor that never polls the endpoint list: the predecessor had a request open, and each
+/// left the next one to the other.
+#[test]
+fn handover_successor_polls_endpoint_list_by_itself() {
+    let member = start_member(MemberBehavior::Answer);
+    let list = Arc::new(Mutex::new((2, list_entry(&member, "SERVING"))));
+    let config = config_text(unused_address(), start_discovery(&list), member.address);
+    let polled = config.replacen(r#""settings":{"#, r#""settings":{"discovery":"ask","#, 1);
+    let mut harness = UpgradeHarness::with_config("polled", &polled, HANDOVER_SETTINGS);
+    let predecessor = harness.driver.process.child.id();
+    // The predecessor's first request is answered, and the next one is open.
+    harness.wait_for_counter(predecessor, "endpoint_lists_applied=2 ");
+    harness.upgrade();
+    let successor = harness.pid.expect("the upgrade has set it");
+    harness.wait_for_counter(successor, "endpoint_lists_applied=1 ");
+    *list.lock().expect("lock the endpoint list") = (3, list_entry(&member, "DRAINING"));
+    harness.wait_for_counter(successor, "endpoint_lists_applied=2 ");
+    // The only member drains, so the read is rejected.
+    assert_eq!(harness.execute_short_read(1), "E53300 Z");
+    assert_eq!(take_execution_counts(&member).values().sum::<u32>(), 0);
+}
+
 /// Executions in flight at either process count at the other.
 #[test]
 fn co_serving_in_flight_counts_are_exchanged() {
