SIGTERM to a predecessor that has handed over sets its shutdown schedule

A statement that the predecessor still had open at a member that hangs could outlast SIGKILL: SIGTERM was taken for a repeated request, since the handover had set the flag that tells one.

Change: ShutdownState keeps the request apart from the handover; the first request sets the schedule of policy and phases.

--- a/crates/driver/src/program/serve/control_loop.rs
+++ b/crates/driver/src/program/serve/control_loop.rs
@@ -26,7 +26,22 @@
     pub(super) operators: Operators,
     pub(super) phases: Phases,
     pub(super) services: DeferredServices<'a>,
-    pub(super) is_shutting_down: bool,
+    pub(super) shutdown: ShutdownState,
+}
+
+/// Why this process shuts down, if it does.
+#[derive(Default)]
+pub(super) struct ShutdownState {
+    /// Shutdown was requested by a signal, so that its schedule applies.
+    is_requested: bool,
+    /// A successor has taken over.
+    has_handed_over: bool,
+}
+
+impl ShutdownState {
+    fn is_shutting_down(&self) -> bool {
+        self.is_requested || self.has_handed_over
+    }
 }
 
 impl<F: Fn() -> Result<Config, ConfigError>> ControlLoop<'_, F> {
@@ -45,7 +60,7 @@
         self.predecessor.set_timeouts(self.operators.predecessor_timeouts);
         let may_begin = self.may_begin_upgrade();
         self.predecessor.advance_to(event_loop, now, may_begin);
-        self.is_shutting_down |= self.predecessor.has_handed_over();
+        self.shutdown.has_handed_over |= self.predecessor.has_handed_over();
         self.advance_successor(event_loop, now);
         let successor_deadline = self
             .successor
@@ -65,7 +80,7 @@
 
     /// No upgrade begins before the predecessor has exited, nor during shutdown.
     fn may_begin_upgrade(&self) -> bool {
-        self.successor.is_none() && !self.is_shutting_down
+        self.successor.is_none() && !self.shutdown.is_shutting_down()
     }
 
     fn on_control_event(&mut self, event_loop: &mut EventLoop<Log>, now: Timestamp, event: ControlEvent) {
@@ -89,9 +104,10 @@
         }
     }
 
-    /// Further requests have no effect.
+    /// Further requests have no effect. A process whose successor has taken over shuts down already, but only
+    /// a request sets a schedule.
     fn begin_shutdown(&mut self, event_loop: &mut EventLoop<Log>, now: Timestamp) {
-        let is_first = !std::mem::replace(&mut self.is_shutting_down, true);
+        let is_first = !std::mem::replace(&mut self.shutdown.is_requested, true);
         if let Some(max_wait) = self.config.settings.max_client_wait.filter(|_| is_first) {
             let schedule = ShutdownSchedule::new(now, max_wait);
             self.phases.limit_shutdown(schedule.exit_at);
@@ -134,7 +150,7 @@
     /// Enters all phases that are due, and returns the current one.
     fn advance_phases(&mut self, event_loop: &mut EventLoop<Log>, now: Timestamp) -> Phase {
         let state = ProcessState {
-            is_shutting_down: self.is_shutting_down,
+            is_shutting_down: self.shutdown.is_shutting_down(),
             is_listening: event_loop.is_listening(),
             is_listener_closed: event_loop.is_listener_closed(),
             // Clients that are queued for a successor still belong to this process.
--- a/crates/driver/src/program/serve/mod.rs
+++ b/crates/driver/src/program/serve/mod.rs
@@ -24,7 +24,7 @@
 use crate::transport::clock::Clock;
 use crate::transport::io_journal::IoJournalWriter;
 pub use check::check;
-use control_loop::{report_metrics, ControlLoop};
+use control_loop::{report_metrics, ControlLoop, ShutdownState};
 use deferred_services::DeferredServices;
 pub use error::ServeError;
 use start_retry::StartRetry;
@@ -112,7 +112,7 @@
         operators,
         phases,
         services,
-        is_shutting_down: false,
+        shutdown: ShutdownState::default(),
     };
     let control = |event_loop: &mut EventLoop<Log>, now| control_loop.advance_to(event_loop, now);
     event_loop.run(&events, clock, control);
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -822,6 +822,29 @@
     assert_eq!(take_execution_counts(&member).values().sum::<u32>(), 0);
 }
 
+/// Guards against answers after SIGKILL: a predecessor that had handed over ignored SIGTERM while one of its
+/// statements was open.
+#[test]
+fn handover_sigterm_to_draining_predecessor_answers_open_statement_in_time() {
+    let member = start_member(MemberBehavior::AnswerOnRelease);
+    let config = config_text(unused_address(), unresponsive_discovery(), member.address);
+    let limited = config.replace(r#""worth""#, r#""give_up_us":1000000,"worth""#);
+    let mut harness = UpgradeHarness::with_config("late-sigterm", &limited, HANDOVER_SETTINGS);
+    let mut client = harness.driver.process.connect();
+    // The statement's own timeout is longer than the test waits for an answer.
+    send_statement_with(&mut client, "post", 10 * TEST_TIMEOUT.as_millis() as u32, "x");
+    member.next_event();
+    let (successor, upgrade_request) = harness.begin_upgrade();
+    harness.pid = Some(successor);
+    let output = upgrade_request.join().expect("join the thread");
+    assert!(output.status.success(), "the successor owns the service");
+    let predecessor = harness.driver.process.child.id();
+    harness.signal(predecessor, "TERM");
+    // The member never answers.
+    assert_eq!(read_answer(&mut client).0, "E40003 Z");
+    assert!(harness.driver.process.exits_successfully());
+}
+
 /// Executions in flight at either process count at the other.
 #[test]
 fn co_serving_in_flight_counts_are_exchanged() {
