A request for the complete endpoint list that times out is given more time

Cause: a request without a known version always had list_late (1 s); a version is known only once an answer was heard.

Change: each consecutive timeout of such a request doubles the limit of the next one, up to a watch's (3 s). A list or another address begins with list_late again, so a lost request at a fast address is noticed as soon as before.

Test: discovery_slow_complete_list_is_learned failed before (no list within 10 s of the simulated clock, polled and watched), passes.

--- a/crates/config/src/service_schema.rs
+++ b/crates/config/src/service_schema.rs
@@ -108,7 +108,7 @@
         "watch_late": "50ms" to "1min" = "1s", Live, DRAINS, [],
             "additional time for its answer before the connection is closed";
         "list_late": "50ms" to "1min" = "1s", Live, DRAINS, [],
-            "timeout of a request for the endpoint list that doesn't wait for a change";
+            "first timeout of a request for the endpoint list that doesn't wait for a change; doubles up to watch and watch_late together while such requests time out";
         "first_pause": "10ms" to "1min" = "100ms", Live, NONE, [],
             "backoff after the first failed request; doubled by each further failure";
         "longest_pause": "10ms" to "10min" = "2s", Live, DRAINS, [],
--- a/crates/driver/src/routing/discovery_requests.rs
+++ b/crates/driver/src/routing/discovery_requests.rs
@@ -40,6 +40,8 @@
     limits: Limits,
     /// Timeout for each further change on the current request, fixed when it was sent.
     change_timeout: TimeSpan,
+    /// Consecutive requests to this address for the complete list that timed out.
+    list_timeouts: u32,
 }
 
 impl DiscoveryRequests {
@@ -63,6 +65,7 @@
             is_polled,
             limits,
             change_timeout: limits.watch_timeout + limits.watch_grace,
+            list_timeouts: 0,
         }
     }
 
@@ -108,7 +111,7 @@
         self.change_timeout = self.limits.watch_timeout + self.limits.watch_grace;
         let timeout = match self.known_version {
             Some(_) => self.change_timeout,
-            None => self.limits.list_timeout,
+            None => self.list_timeout(),
         };
         self.times_out_at = now + timeout;
         let request = DiscoveryRequest {
@@ -129,6 +132,22 @@
         self.handle.is_some()
     }
 
+    /// Timeout of a request for the complete list. It doubles with each consecutive timeout, up to that of a
+    /// watch, since a slow address would otherwise be asked again and again without being heard.
+    fn list_timeout(&self) -> TimeSpan {
+        let initial = self.limits.list_timeout;
+        let max_timeout = initial.max(self.change_timeout);
+        let timeout = initial * f64::from(self.list_timeouts).exp2();
+        timeout.min(max_timeout)
+    }
+
+    /// Records that the current request has timed out.
+    pub fn on_timed_out(&mut self) {
+        if self.known_version.is_none() {
+            self.list_timeouts = self.list_timeouts.saturating_add(1);
+        }
+    }
+
     /// Changes the address of discovery. Versions of the previous address are not valid at the new one, so
     /// the complete list is requested immediately. The current request ends, because the previous address may
     /// never respond.
@@ -140,6 +159,7 @@
         self.handle = None;
         self.known_version = None;
         self.backoff = self.limits.initial_backoff;
+        self.list_timeouts = 0;
         self.retry_at = Some(now);
     }
 
@@ -148,6 +168,7 @@
         self.times_out_at = now + self.change_timeout;
         self.backoff = self.limits.initial_backoff;
         self.known_version = Some(version);
+        self.list_timeouts = 0;
     }
 
     /// Ends the current request. A watch is retried after an exponential backoff. Returns whether the policy
--- a/crates/driver/src/routing/event_loop/discovery.rs
+++ b/crates/driver/src/routing/event_loop/discovery.rs
@@ -12,6 +12,7 @@
         if self.discovery_requests.is_timed_out(now) {
             let text = format_args!("request timed out; retrying");
             self.logger.log(now, "discovery", text);
+            self.discovery_requests.on_timed_out();
             self.on_discovery_failed(now);
         }
         if self.discovery_requests.take_due(now) {
--- a/crates/driver/tests/routing/discovery.rs
+++ b/crates/driver/tests/routing/discovery.rs
@@ -78,6 +78,40 @@
     assert_eq!(harness.event_loop.metrics.endpoints_skipped, 1);
 }
 
+/// Guards against an address that is never learned from: each request for the complete list was given up after
+/// the same second and made again, while the answers took longer.
+#[test]
+fn discovery_slow_complete_list_is_learned() {
+    const ANSWER_TIME_MS: u64 = 1500;
+    let polled = SETTINGS.replacen('{', r#"{"discovery":"ask","#, 1);
+    for settings in [SETTINGS, &polled] {
+        let mut harness = Harness::without_members(settings, 1024, 192 << 20);
+        let mut answered = 0;
+        while harness.event_loop.metrics.endpoint_lists_applied == 0 {
+            assert!(
+                harness.now - START < TimeSpan::millis(10_000),
+                "no list is learned"
+            );
+            harness.advance(0);
+            let request = harness.requests.borrow().len() as u32;
+            if request == answered {
+                harness.advance(10);
+                continue;
+            }
+            answered = request;
+            harness.advance(ANSWER_TIME_MS);
+            let event = DiscoveryEvent::Listed(primary_and_replica());
+            let message = DiscoveryMessage { request, event };
+            harness.event_loop.on_event(harness.now, Event::from(message));
+        }
+        let requests = harness.requests.borrow();
+        assert!(requests
+            .iter()
+            .all(|(request, _)| request.known_version.is_none()));
+        assert_eq!(requests.len(), 2, "the second request is given more time");
+    }
+}
+
 /// Versions and events of the previous address are not valid after a change of the discovery address.
 #[test]
 fn discovery_address_change_requests_the_complete_list() {
