A client rejected while its process hands over gets an answer to what was read

The session ignored Reject behind HandOver, and the event loop drops statements of a rejected client: one that was read before HandOver came was answered by nobody.

Change: the rejection is ignored only where no statement is open.

Test: on_command_reject_while_handing_over_answers_statements_read_before failed before (0 answers), passes. A test of the session alone; the order was not made between two processes.

--- a/crates/driver/src/protocol/client_session.rs
+++ b/crates/driver/src/protocol/client_session.rs
@@ -433,8 +433,9 @@
                 self.is_handing_over = true;
                 self.close_if_draining(out);
             }
-            // Timeouts and limits are up to the other process now.
-            ClientCommand::TimeOut | ClientCommand::Reject if self.is_handing_over => {}
+            // Timeouts and limits are up to the other process now, unless this one has open statements to answer.
+            ClientCommand::TimeOut if self.is_handing_over => {}
+            ClientCommand::Reject if self.is_handing_over && self.pipeline.is_empty() => {}
             ClientCommand::TimeOut | ClientCommand::Reject if self.state == State::Closed => {}
             ClientCommand::TimeOut => self.on_timeout(out),
             ClientCommand::Reject => self.reject(out),
--- a/crates/driver/tests/protocol/client_session.rs
+++ b/crates/driver/tests/protocol/client_session.rs
@@ -413,3 +413,34 @@
         assert!(out.close);
     }
 }
+
+/// Guards against a statement without an answer: the event loop drops those of a rejected client, and a session
+/// that was told to hand over before ignored the rejection.
+#[test]
+fn on_command_reject_while_handing_over_answers_statements_read_before() {
+    for statement_count in [1, 2, 16] {
+        let (mut session, mut out) = (new_session(1 << 20), ConnectionOutput::default());
+        let input = [default_startup(), query("SELECT 1").repeat(statement_count)].concat();
+        feed_input(&mut session, &input, 1000, &mut out);
+        out.bytes.clear();
+        session.on_command(ClientCommand::HandOver, AT, &mut out);
+        session.on_command(ClientCommand::Reject, AT, &mut out);
+        assert_eq!(
+            describe_messages(&out.bytes).matches("E53300").count(),
+            statement_count
+        );
+        assert!(out.close);
+    }
+}
+
+/// A client without an open statement is the other process's, which has its own limits.
+#[test]
+fn on_command_reject_while_handing_over_without_statement_is_ignored() {
+    let (mut session, mut out) = (new_session(1 << 20), ConnectionOutput::default());
+    feed_input(&mut session, &default_startup(), 1000, &mut out);
+    out.bytes.clear();
+    session.on_command(ClientCommand::HandOver, AT, &mut out);
+    session.on_command(ClientCommand::Reject, AT, &mut out);
+    assert!(out.hand_over && !out.close);
+    assert!(out.bytes.is_empty());
+}
