--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -34,6 +34,8 @@
         let control = folder.path("control");
         let arguments = ["--operators", &file, "--control", &control];
         let driver = start_with_operators_file_and_config(name, config, &arguments, &FaultPlan::default());
+        // The control socket is opened after the listener.
+        driver.wait_for_log("phase: t is serving");
         UpgradeHarness {
             folder,
             driver,
@@ -77,6 +79,13 @@
         (pid, upgrade_request)
     }
 
+    /// Waits until clients move to the successor, which they do once it has acknowledged that it serves. Until
+    /// then the commit may still be on its way.
+    fn await_client_moves(&self, successor: u32) {
+        let _client = self.driver.process.connect();
+        self.wait_for_counter(successor, "open_clients=1 ");
+    }
+
     fn upgrade(&mut self) {
         let (pid, upgrade_request) = self.begin_upgrade();
         let output = upgrade_request.join().expect("join the thread");
@@ -488,6 +497,7 @@
         let (pid, _upgrade_request) = harness.begin_upgrade();
         harness.pid = Some(pid);
         assert_eq!(harness.execute("post", 2), "T D C Z");
+        harness.await_client_moves(pid);
         let predecessor_pid = harness.driver.process.child.id();
         harness.signal(if signals_successor { pid } else { predecessor_pid }, signal);
         harness.driver.wait_for_log(expected_log);
@@ -1006,6 +1016,7 @@
         member.next_event();
         let (pid, _upgrade_request) = harness.begin_upgrade();
         harness.pid = Some(pid);
+        harness.await_client_moves(pid);
         let predecessor_pid = harness.driver.process.child.id();
         harness.signal(predecessor_pid, signal);
         harness.driver.wait_for_log(expected_log);
