--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -65,18 +65,18 @@
     }
 }
 
-fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
     let mut bytes = vec![kind];
     bytes.extend((body.len() as u32 + 4).to_be_bytes());
     bytes.extend(body);
     bytes
 }
 
-fn parameter(name: &str, value: &str) -> Vec<u8> {
+pub fn parameter(name: &str, value: &str) -> Vec<u8> {
     message(b'S', format!("{name}\0{value}\0").as_bytes())
 }
 
-fn row(value: &[u8]) -> Vec<u8> {
+pub fn row(value: &[u8]) -> Vec<u8> {
     let mut description = 1u16.to_be_bytes().to_vec();
     description.extend(b"blob\0");
     description.extend([0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 1]);
@@ -86,11 +86,11 @@
     [message(b'T', &description), message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
 }
 
-fn error(code: &str) -> Vec<u8> {
+pub fn error(code: &str) -> Vec<u8> {
     message(b'E', format!("SERROR\0VERROR\0C{code}\0Mstand-in\0\0").as_bytes())
 }
 
-fn read_startup(stream: &mut TcpStream) -> std::io::Result<()> {
+pub fn read_startup(stream: &mut TcpStream) -> std::io::Result<()> {
     let mut length = [0; 4];
     stream.read_exact(&mut length)?;
     let mut rest = vec![0; (u32::from_be_bytes(length) as usize).clamp(4, 10_000) - 4];
@@ -98,7 +98,7 @@
 }
 
 /// Reads a message; returns its kind, its content and the time of its first byte.
-fn read_message(stream: &mut TcpStream) -> std::io::Result<(u8, Vec<u8>, f64)> {
+pub fn read_message(stream: &mut TcpStream) -> std::io::Result<(u8, Vec<u8>, f64)> {
     let mut kind = [0];
     stream.read_exact(&mut kind)?;
     let first_byte_at = unix_ms();
