Discovery: no gap between watches that is longer than drains allow

Cause: a request that timed out was followed by the next one after a backoff of up to 2 s, like one that was refused. No request is open meanwhile, and the bound came from the limits alone, whatever rules.drain_grace_us says.

Change: a watch that times out is opened anew in the same step, for its timeout has paced the requests already. Other failures are followed by a request after a quarter of the drain grace period at most. The settings' rules.drain_grace_us is read for that.

discovery_slow_complete_list_is_learned answered 1.5 s after it noticed a request, up to 2 s after the request was made; with requests made at once the answer fell on the timeout itself. It answers 1.5 s after the request now, which is what its name says; its other checks are unchanged.

--- a/crates/config/src/service_schema.rs
+++ b/crates/config/src/service_schema.rs
@@ -112,7 +112,7 @@
         "first_pause": "10ms" to "1min" = "100ms", Live, NONE, [],
             "backoff after the first failed request; doubled by each further failure";
         "longest_pause": "10ms" to "10min" = "2s", Live, DRAINS, [],
-            "maximum backoff";
+            "maximum backoff; where the list is watched, at most a quarter of the deployment's drain grace period";
     } },
     Section { name: "log", key: None, description: "Log lines on standard error.", settings: settings! {
         "lines": "1/s" to "1000/s" = "5/s", Live, NONE, [],
--- a/crates/driver/src/routing/discovery_requests.rs
+++ b/crates/driver/src/routing/discovery_requests.rs
@@ -8,6 +8,10 @@
 use std::io;
 use std::net::SocketAddr;
 
+/// Maximum backoff of a watch as a fraction of the drain grace period. Without a watch a drain goes unnoticed; the
+/// rest of the grace period is left for the call and for a process that is held up.
+const MAX_BACKOFF_IN_DRAIN_GRACE: f64 = 0.25;
+
 /// Parameters of a request.
 pub struct DiscoveryRequest {
     /// Sequence number, by which its events refer to it.
@@ -37,6 +41,8 @@
     known_version: Option<u64>,
     /// The routing policy decides when to poll. Otherwise the list is watched.
     is_polled: bool,
+    /// Time after a drain is announced in which its member may still get statements.
+    drain_grace: Option<TimeSpan>,
     limits: Limits,
     /// Timeout for each further change on the current request, fixed when it was sent.
     change_timeout: TimeSpan,
@@ -50,6 +56,7 @@
         dial: DialDiscovery,
         address: SocketAddr,
         is_polled: bool,
+        drain_grace: Option<TimeSpan>,
         limits: Limits,
         now: Timestamp,
     ) -> DiscoveryRequests {
@@ -63,6 +70,7 @@
             backoff: limits.initial_backoff,
             known_version: None,
             is_polled,
+            drain_grace,
             limits,
             change_timeout: limits.watch_timeout + limits.watch_grace,
             list_timeouts: 0,
@@ -141,11 +149,18 @@
         timeout.min(max_timeout)
     }
 
-    /// Records that the current request has timed out.
-    pub fn on_timed_out(&mut self) {
+    /// Ends the current request, which has timed out. A watch is opened anew immediately: the timeout has already
+    /// limited the rate of requests, and changes go unnoticed while none is open. Returns like
+    /// [`DiscoveryRequests::on_failed`].
+    pub fn on_timed_out(&mut self, now: Timestamp) -> bool {
         if self.known_version.is_none() {
             self.list_timeouts = self.list_timeouts.saturating_add(1);
         }
+        self.handle = None;
+        if !self.is_polled {
+            self.retry_at = Some(now);
+        }
+        self.is_polled
     }
 
     /// Changes the address of discovery. Versions of the previous address are not valid at the new one, so
@@ -176,12 +191,21 @@
     pub fn on_failed(&mut self, now: Timestamp) -> bool {
         self.handle = None;
         if !self.is_polled {
-            self.retry_at = Some(now + self.backoff);
-            self.backoff = (self.backoff + self.backoff).min(self.limits.max_backoff);
+            let max_backoff = self.max_backoff();
+            self.retry_at = Some(now + self.backoff.min(max_backoff));
+            self.backoff = (self.backoff + self.backoff).min(max_backoff);
         }
         self.is_polled
     }
 
+    /// Upper bound of the backoff: the limit, or less where the drain grace period requires it.
+    fn max_backoff(&self) -> TimeSpan {
+        let for_drains = self.drain_grace.map(|grace| grace * MAX_BACKOFF_IN_DRAIN_GRACE);
+        for_drains.map_or(self.limits.max_backoff, |backoff| {
+            backoff.min(self.limits.max_backoff)
+        })
+    }
+
     /// Whether the current request has timed out.
     pub fn is_timed_out(&self, now: Timestamp) -> bool {
         self.handle.is_some() && self.times_out_at <= now
--- a/crates/driver/src/routing/event_loop/discovery.rs
+++ b/crates/driver/src/routing/event_loop/discovery.rs
@@ -12,8 +12,9 @@
         if self.discovery_requests.is_timed_out(now) {
             let text = format_args!("request timed out; retrying");
             self.logger.log(now, "discovery", text);
-            self.discovery_requests.on_timed_out();
-            self.on_discovery_failed(now);
+            if self.discovery_requests.on_timed_out(now) {
+                self.on_poll_failed(now);
+            }
         }
         if self.discovery_requests.take_due(now) {
             self.request_endpoint_list(now);
@@ -29,11 +30,15 @@
 
     fn on_discovery_failed(&mut self, now: Timestamp) {
         if self.discovery_requests.on_failed(now) {
-            let actions = self.policy.on_poll_failed(now);
-            self.execute_actions(now, actions);
+            self.on_poll_failed(now);
         }
     }
 
+    fn on_poll_failed(&mut self, now: Timestamp) {
+        let actions = self.policy.on_poll_failed(now);
+        self.execute_actions(now, actions);
+    }
+
     /// Handles an event of the current request; events of earlier requests are ignored.
     pub(super) fn on_discovery_message(&mut self, now: Timestamp, message: DiscoveryMessage) {
         if !self.discovery_requests.is_current(message.request) {
--- a/crates/driver/src/routing/event_loop/mod.rs
+++ b/crates/driver/src/routing/event_loop/mod.rs
@@ -148,6 +148,7 @@
                 connectors.dial_discovery,
                 config.discovery,
                 settings.poll_endpoint_list,
+                decoding.drain_grace,
                 limits,
                 now,
             ),
--- a/crates/driver/tests/routing/discovery.rs
+++ b/crates/driver/tests/routing/discovery.rs
@@ -86,23 +86,22 @@
     let polled = SETTINGS.replacen('{', r#"{"discovery":"ask","#, 1);
     for settings in [SETTINGS, &polled] {
         let mut harness = Harness::without_members(settings, 1024, 192 << 20);
-        let mut answered = 0;
+        let (mut latest, mut requested_at) = (0, START);
         while harness.event_loop.metrics.endpoint_lists_applied == 0 {
             assert!(
                 harness.now - START < TimeSpan::millis(10_000),
                 "no list is learned"
             );
-            harness.advance(0);
             let request = harness.requests.borrow().len() as u32;
-            if request == answered {
-                harness.advance(10);
-                continue;
+            if request != latest {
+                (latest, requested_at) = (request, harness.now);
             }
-            answered = request;
-            harness.advance(ANSWER_TIME_MS);
-            let event = DiscoveryEvent::Listed(primary_and_replica());
-            let message = DiscoveryMessage { request, event };
-            harness.event_loop.on_event(harness.now, Event::from(message));
+            if harness.now - requested_at == TimeSpan::millis(ANSWER_TIME_MS) {
+                let event = DiscoveryEvent::Listed(primary_and_replica());
+                let message = DiscoveryMessage { request, event };
+                harness.event_loop.on_event(harness.now, Event::from(message));
+            }
+            harness.advance(10);
         }
         let requests = harness.requests.borrow();
         assert!(requests
@@ -247,7 +246,7 @@
     let max_backoff_after = |code| {
         let dial = Box::new(move |_| Err(std::io::Error::from_raw_os_error(code)));
         let address = "10.0.1.1:80".parse().expect("parse the address");
-        let mut requests = DiscoveryRequests::new(dial, address, false, limits, START);
+        let mut requests = DiscoveryRequests::new(dial, address, false, None, limits, START);
         let mut now = START;
         let mut max_backoff = TimeSpan(0);
         for _ in 0..10 {
@@ -262,3 +261,39 @@
     assert_eq!(max_backoff_after(libc::EADDRNOTAVAIL), limits.initial_backoff);
     assert_eq!(max_backoff_after(libc::ECONNREFUSED), limits.max_backoff);
 }
+
+/// Guards against drains that are learned too late: behind an outage of discovery, watches waited for up to two
+/// seconds, whatever drain grace period the deployment has.
+#[test]
+fn discovery_outage_leaves_no_longer_gap_than_drains_allow() {
+    const DRAIN_GRACE_MS: u64 = 250;
+    let settings = SETTINGS.replacen('{', r#"{"rules":{"drain_grace_us":250000},"#, 1);
+    let closed = |harness: &mut Harness| {
+        let request = harness.requests.borrow().len() as u32;
+        let event = DiscoveryEvent::Closed;
+        let message = DiscoveryMessage { request, event };
+        harness.event_loop.on_event(harness.now, Event::from(message));
+    };
+    // A silent address leaves requests without an answer; another one closes them.
+    for is_silent in [true, false] {
+        let mut harness = Harness::new(&settings, 1024, 192 << 20);
+        let (mut gap_ms, mut longest_gap_ms) = (0, 0);
+        while harness.now - START < TimeSpan::millis(30_000) {
+            if !is_silent {
+                closed(&mut harness);
+            }
+            harness.advance(1);
+            let requests = harness.requests.borrow();
+            let (_, latest) = requests.last().expect("a request was made at the start");
+            let is_open = matches!(latest.try_recv(), Err(TryRecvError::Empty));
+            gap_ms = if is_open { 0 } else { gap_ms + 1 };
+            longest_gap_ms = longest_gap_ms.max(gap_ms);
+        }
+        assert!(
+            longest_gap_ms <= DRAIN_GRACE_MS / 2,
+            "without a request for {longest_gap_ms} ms, silent: {is_silent}"
+        );
+        let count = harness.requests.borrow().len();
+        assert!(count < 1000, "{count} requests in 30 s");
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `family_info.counted_from_us`, `.answers_stamped` | origin of positions, and whether answers carry them | `Decoding::position_epoch`, `answers_carry_positions` |
 //! | `parties.N.quota_per_s`, `over_share_worth` | tenants' quotas, importance factor beyond them | `tenant_quotas`, `over_quota_share` |
 //! | `discovery`, `rules.ask_within_us` | `ask`: the endpoint list is polled, at least this often | `poll_endpoint_list`, `max_poll_interval` |
+//! | `rules.drain_grace_us` | how long a draining member may still get statements | `Decoding::drain_grace` |
 //! | `rules.gone_is_advice` | members listed as gone may be used | `may_use_gone_members` |
 //! | `rules.cold_from`, `.warm_within_us` | capacity at a start, time to full capacity | `cold_start_fraction`, `warm_up_time` |
 //! | `rules.tip_multiple`, `.fall_us` | overload of a warming member | `overload_multiple`, `overload_window` |
@@ -82,6 +83,8 @@
     pub has_load_reports: bool,
     /// Maximum time to establish a connection to a member.
     pub connect_timeout: TimeSpan,
+    /// Time after a drain is announced in which its member may still get statements; `None` if not stated.
+    pub drain_grace: Option<TimeSpan>,
 }
 
 /// Settings by key, where keys of nested objects are joined by dots.
@@ -311,6 +314,14 @@
     Ok(Some(max_wait).filter(|max_wait| *max_wait > TimeSpan(0)))
 }
 
+fn drain_grace(map: &SettingsMap) -> Result<Option<TimeSpan>, SettingsError> {
+    let key = "rules.drain_grace_us";
+    if map.text(key).is_none() {
+        return Ok(None);
+    }
+    Ok(Some(map.span(key, TimeSpan(0))?))
+}
+
 fn read_decoding(map: &SettingsMap, workload_count: usize) -> Result<Decoding, SettingsError> {
     let fields = map.list("report.fields");
     let has_load_reports = map.text("report.how") != Some("off");
@@ -323,6 +334,7 @@
         report_fields: owned(&fields),
         has_load_reports,
         connect_timeout: map.span("limits.connect_timeout_us", TimeSpan::millis(250))?,
+        drain_grace: drain_grace(map)?,
         position_epoch: Timestamp(map.value("family_info.counted_from_us", 0)?),
         position_field: field("x0"),
         role_field: field("x1"),
