Statements rejected for lack of memory are one event for each read

Callers saw: while clients sent small statements without pause, the process grew past its memory limit (34.9 MB of 32 after six seconds, 256 descriptors, 200 clients that read nothing).

Cause: each statement that the clients' budget has no room for sent the event loop an event, only to be counted. Neither the pipeline's 16 places nor the wait for an answer holds such a client back, and the queue has no bound: 2,224,712 events in six seconds.

Change: the rejections of one read are one event with their number; the counter is the same.

--- a/crates/driver/src/protocol/client_events.rs
+++ b/crates/driver/src/protocol/client_events.rs
@@ -40,7 +40,10 @@
     /// A query that exceeds the message limit was rejected.
     Oversized,
     /// A statement was rejected or the connection closed because the memory budget is exhausted.
-    OutOfMemory,
+    OutOfMemory {
+        /// Number of rejected statements and connections.
+        count: u64,
+    },
     /// The connection continues in another process.
     Transferred {
         /// Id of the client.
--- a/crates/driver/src/protocol/client_session.rs
+++ b/crates/driver/src/protocol/client_session.rs
@@ -41,6 +41,8 @@
     /// Remaining bytes of an oversized query, to be skipped.
     bytes_to_skip: usize,
     pipeline: Pipeline,
+    /// Statements rejected for lack of memory that were not reported yet.
+    rejected_for_memory: u64,
     budget: MemoryBudget,
     /// Bytes consumed since the connection started here.
     consumed_bytes: u64,
@@ -71,6 +73,7 @@
             is_all_read: false,
             bytes_to_skip: 0,
             pipeline: Pipeline::default(),
+            rejected_for_memory: 0,
             budget,
             consumed_bytes: 0,
             message_start: 0,
@@ -248,7 +251,7 @@
                 at,
             });
         } else {
-            out.events.push(ClientEvent::OutOfMemory);
+            self.rejected_for_memory += 1;
             self.pipeline.push_rejected(end, OUT_OF_MEMORY);
         }
         self.write_answers(out);
@@ -363,6 +366,15 @@
         consumed_total
     }
 
+    /// Reports the statements that were rejected for lack of memory by one event for all: a client that sends
+    /// them without pause would flood the event loop's queue.
+    fn report_rejections(&mut self, out: &mut Output) {
+        let count = std::mem::take(&mut self.rejected_for_memory);
+        if count > 0 {
+            out.events.push(ClientEvent::OutOfMemory { count });
+        }
+    }
+
     /// Reports the start and the end of the wait for the rest of a message.
     fn update_partial_message(&mut self, unconsumed: usize, at: Timestamp, out: &mut Output) {
         let waits_for_message = self.state == State::Ready && self.pipeline.is_empty();
@@ -415,6 +427,7 @@
 
     fn on_input(&mut self, input: &mut Vec<u8>, at: Timestamp, out: &mut Output) {
         let consumed_total = self.read_messages(input, at, out);
+        self.report_rejections(out);
         input.drain(..consumed_total);
         self.consumed_bytes += consumed_total as u64;
         self.update_partial_message(input.len(), at, out);
@@ -457,7 +470,7 @@
     }
 
     fn on_memory_exhausted(&mut self, out: &mut Output) {
-        out.events.push(ClientEvent::OutOfMemory);
+        out.events.push(ClientEvent::OutOfMemory { count: 1 });
         self.close_with_error("53300", "no memory is left for the message", out);
     }
 
--- a/crates/driver/src/routing/event_loop/clients.rs
+++ b/crates/driver/src/routing/event_loop/clients.rs
@@ -84,7 +84,7 @@
                 let text = format_args!("a client violated the protocol");
                 self.logger.log(now, "client", text);
             }
-            ClientEvent::OutOfMemory => self.metrics.rejected_for_memory += 1,
+            ClientEvent::OutOfMemory { count } => self.metrics.rejected_for_memory += count,
             ClientEvent::Oversized => self.metrics.statements_unreadable += 1,
             ClientEvent::Transferred {
                 client,
--- a/crates/driver/tests/protocol/client_session.rs
+++ b/crates/driver/tests/protocol/client_session.rs
@@ -32,6 +32,22 @@
     assert!(unwritten.resize(9) && client_events::StatementText::new("SELECT 1", &budget).is_some());
 }
 
+/// Guards against a queue that grows without end: each rejected statement of a client that sends without pause
+/// was an event of its own, and the event loop couldn't keep up.
+#[test]
+fn on_input_many_statements_rejected_for_memory_are_one_event() {
+    const STATEMENTS: usize = 500;
+    let (mut session, mut out) = (new_session(0), ConnectionOutput::default());
+    let mut input = [default_startup(), query("SELECT 1").repeat(STATEMENTS)].concat();
+    session.on_input(&mut input, AT, &mut out);
+    let expected = format!("idle out of memory {STATEMENTS} times");
+    assert_eq!(describe_client_events(&out.events), expected);
+    assert_eq!(
+        describe_messages(&out.bytes).matches("E53300").count(),
+        STATEMENTS
+    );
+}
+
 /// An incomplete message is reported once and its timeout sends an error. An idle client that has sent a
 /// query gets no error, since it could be taken for the answer to a statement in transit.
 #[test]
