Memory budgets count what buffers, statements and connections take

Callers saw: with hundreds of clients that wrote slowly, stopped half way through a large request or sent heads of very many short fields, the process passed its memory limit: up to 40.6 MB of 32 (600 clients, 1,024 descriptors).

Cause: the budget counted buffered bytes. Buffers double when they grow and keep four times their content, a connection takes 14 KB and an open statement 1 KB without its text, answers that wait for earlier ones weren't counted, and input was read ahead with the budget used up.

Change: buffers grow by an eighth and count by capacity; waiting answers and 1 KB for each statement count; budgets leave room for the process and a full table of connections; nothing is read ahead while the budget is used up; incomplete messages leave a quarter of the budget to complete ones.

Evidence: on the code before, the test of the process ends with 37 MB, that of the transport with '4000 bytes are allocated for 3000'; both pass.

Two tests state their budgets in statements now, since a statement takes more than its text; what they check is the same.

--- a/crates/driver/src/protocol/client_events.rs
+++ b/crates/driver/src/protocol/client_events.rs
@@ -6,6 +6,9 @@
 use asterlatch::time::Timestamp;
 use std::net::TcpStream;
 
+/// Memory that an open statement takes in the tables of connection, event loop and policy, without its text.
+pub const STATEMENT_BYTES: usize = 1024;
+
 /// An event of a client's connection.
 pub enum ClientEvent {
     /// A complete statement.
@@ -105,10 +108,10 @@
 }
 
 impl StatementText {
-    /// Copies a text; `None` if the budget cannot hold it.
+    /// Copies a text; `None` if the budget cannot hold it and the statement.
     pub fn new(text: &str, budget: &MemoryBudget) -> Option<StatementText> {
         Some(StatementText {
-            _reservation: budget.reserve(text.len())?,
+            _reservation: budget.reserve(STATEMENT_BYTES + text.len())?,
             text: text.to_owned(),
         })
     }
--- a/crates/driver/src/protocol/client_session.rs
+++ b/crates/driver/src/protocol/client_session.rs
@@ -492,6 +492,10 @@
         self.pipeline.is_empty()
     }
 
+    fn held_bytes(&self) -> usize {
+        self.pipeline.held_bytes()
+    }
+
     fn on_handed_over(&mut self, stream: TcpStream, input: Vec<u8>, out: &mut Output) {
         let startup_complete = self.state == State::Ready;
         self.state = State::Closed;
@@ -514,13 +518,13 @@
     }
 
     /// While statements are open, the input read ahead is bounded and the rest stays in the socket's receive
-    /// buffer.
+    /// buffer. Nothing is read ahead while memory is short.
     fn wants_input(&self, unconsumed: usize) -> bool {
         if self.state == State::Closed || self.is_handing_over {
             return false;
         }
         if !self.pipeline.is_empty() {
-            return unconsumed <= MAX_READ_AHEAD_BYTES;
+            return unconsumed <= MAX_READ_AHEAD_BYTES && !self.budget.is_exhausted();
         }
         unconsumed <= messages::max_message_bytes(self.budget.capacity()) + HEADER_BYTES
     }
--- a/crates/driver/src/protocol/pipeline.rs
+++ b/crates/driver/src/protocol/pipeline.rs
@@ -40,6 +40,12 @@
         self.statements.len() >= MAX_STATEMENTS
     }
 
+    /// Bytes of the answers that wait for earlier ones.
+    pub(super) fn held_bytes(&self) -> usize {
+        let answers = self.statements.iter().filter_map(|s| s.answer.as_ref());
+        answers.map(Vec::capacity).sum()
+    }
+
     /// Adds a statement without an answer and returns its number.
     pub(super) fn push_open(&mut self, end: u64) -> u32 {
         let number = self.first_number.wrapping_add(self.statements.len() as u32);
--- a/crates/driver/src/routing/runtime_config.rs
+++ b/crates/driver/src/routing/runtime_config.rs
@@ -1,9 +1,16 @@
 //! Configuration that may change at run time, and the capacities derived from it.
 
-use super::limits::Limits;
+use super::limits::{Limits, Share};
 use crate::transport::memory_budget::MemoryBudget;
 use std::net::SocketAddr;
 
+/// Memory of a process without connections and buffered messages.
+const PROCESS_BYTES: usize = 6 << 20;
+/// Memory of a connection: its stack, its entries in tables, and the buffers that no budget covers.
+const CONNECTION_BYTES: usize = 16 << 10;
+/// Minimum of a budget as a fraction of all memory, where connections alone could take nearly all of it.
+const MIN_BUDGET_DIVISOR: usize = 16;
+
 /// Configuration that may change at run time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RuntimeConfig {
@@ -37,19 +44,28 @@
     /// Creates budgets from the limits.
     pub fn memory_budgets(&self, limits: &Limits) -> MemoryBudgets {
         MemoryBudgets {
-            clients: MemoryBudget::new(limits.client_memory_share.of(self.max_memory)),
-            members: MemoryBudget::new(limits.member_memory_share.of(self.max_memory)),
+            clients: MemoryBudget::new(self.budget_bytes(limits, limits.client_memory_share)),
+            members: MemoryBudget::new(self.budget_bytes(limits, limits.member_memory_share)),
         }
     }
 
     /// Resizes the budgets. Reservations beyond a lower limit stay until they are released.
     pub fn resize_budgets(&self, limits: &Limits, budgets: &MemoryBudgets) {
-        let client_bytes = limits.client_memory_share.of(self.max_memory);
-        let member_bytes = limits.member_memory_share.of(self.max_memory);
+        let client_bytes = self.budget_bytes(limits, limits.client_memory_share);
+        let member_bytes = self.budget_bytes(limits, limits.member_memory_share);
         budgets.clients.set_capacity(client_bytes);
         budgets.members.set_capacity(member_bytes);
     }
 
+    /// A share of the memory, but at most half of what the process and a full table of connections leave.
+    fn budget_bytes(&self, limits: &Limits, share: Share) -> usize {
+        let capacity = self.connection_capacity(limits);
+        let connections = (capacity.clients + capacity.members) * CONNECTION_BYTES;
+        let free = self.max_memory.saturating_sub(PROCESS_BYTES + connections);
+        let min_budget = self.max_memory / MIN_BUDGET_DIVISOR;
+        share.of(self.max_memory).min((free / 2).max(min_budget))
+    }
+
     /// Splits the descriptors between client and member connections.
     pub fn connection_capacity(&self, limits: &Limits) -> ConnectionCapacity {
         let reserved = limits.reserved_descriptors;
--- a/crates/driver/src/transport/connection/coroutine.rs
+++ b/crates/driver/src/transport/connection/coroutine.rs
@@ -16,8 +16,13 @@
 
 /// Maximum size of one read.
 const MAX_READ_BYTES: usize = 16 * 1024;
-/// Buffered bytes of a connection that are exempt from the memory budget and whose buffers are not shrunk.
+/// Memory of a connection that is exempt from the memory budget. Buffers up to this size are not shrunk.
 const UNRESERVED_BYTES: usize = 1024;
+/// A buffer that is too small grows by its content divided by this, since unused capacity takes memory too.
+const GROWTH_DIVISOR: usize = 8;
+/// Incomplete messages leave the budget's capacity divided by this to other uses, so that clients that stop in
+/// the middle of large requests don't have all other statements rejected.
+const INCOMPLETE_MESSAGE_DIVISOR: usize = 4;
 /// Consecutive steps after which a connection yields to others.
 const MAX_CONSECUTIVE_STEPS: usize = 32;
 /// Maximum input that is discarded after the sending side was closed. Closing a socket with unread input
@@ -31,6 +36,16 @@
     static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; MAX_READ_BYTES]);
 }
 
+/// Appends bytes to a buffer, which grows by a small share: hundreds of connections may hold large messages.
+fn append(buffer: &mut Vec<u8>, bytes: &[u8]) {
+    let needed = buffer.len() + bytes.len();
+    if needed > buffer.capacity() {
+        let capacity = needed + buffer.len() / GROWTH_DIVISOR;
+        buffer.reserve_exact(capacity - buffer.len());
+    }
+    buffer.extend_from_slice(bytes);
+}
+
 struct Connection<H: ConnectionHandler, M> {
     io: CoIo<TcpStream>,
     is_open: bool,
@@ -47,7 +62,7 @@
     is_input_ended: bool,
     /// Bytes discarded since the sending side was closed; `None` before that.
     discarded_bytes: Option<usize>,
-    /// Covers the bytes of `input` and `out`.
+    /// Covers the capacity of `input` and `out`, and what the handler holds.
     reservation: MemoryReservation,
 }
 
@@ -146,7 +161,7 @@
             } else {
                 self.io.inner().read(buffer)?
             };
-            self.input.extend(&buffer[..count]);
+            append(&mut self.input, &buffer[..count]);
             Ok(count)
         })
     }
@@ -227,25 +242,32 @@
         Flow::Wait
     }
 
-    /// Shrinks oversized buffers and reserves memory for the buffered bytes; returns whether the budget
+    /// Shrinks oversized buffers and reserves the memory that the connection holds; returns whether the budget
     /// suffices.
     fn reserve_memory(&mut self) -> bool {
         for bytes in [&mut self.input, &mut self.out.bytes] {
-            if bytes.capacity() > UNRESERVED_BYTES && bytes.len() <= bytes.capacity() / 4 {
-                bytes.shrink_to(2 * bytes.len());
+            if bytes.capacity() > UNRESERVED_BYTES && bytes.len() <= bytes.capacity() / 2 {
+                bytes.shrink_to(bytes.len() + bytes.len() / GROWTH_DIVISOR);
             }
         }
-        let buffered = (self.input.len() + self.out.bytes.len()).saturating_sub(UNRESERVED_BYTES);
+        let buffered = self.input.capacity() + self.out.bytes.capacity();
+        let buffered = (buffered + self.handler.held_bytes()).saturating_sub(UNRESERVED_BYTES);
         // A partly written answer is never cut off: while peers read slowly, new statements are rejected
         // instead. Nor is a connection closed while its peer waits for an answer; `wants_input` bounds the
         // input read ahead meanwhile.
         if self.out.bytes.is_empty() && self.handler.is_evictable() {
-            return self.reservation.resize(buffered);
+            let headroom = self.budget_headroom();
+            return self.reservation.resize_with_headroom(buffered, headroom);
         }
         self.reservation.force_resize(buffered);
         true
     }
 
+    /// Capacity of the budget that incomplete messages leave to complete ones.
+    fn budget_headroom(&self) -> usize {
+        self.reservation.budget_capacity() / INCOMPLETE_MESSAGE_DIVISOR
+    }
+
     /// Handles pending socket input and commands. Input comes first, so that a query commanded after the peer
     /// has closed the connection is known not to have been sent.
     fn step(&mut self) -> Flow {
--- a/crates/driver/src/transport/connection/mod.rs
+++ b/crates/driver/src/transport/connection/mod.rs
@@ -87,6 +87,10 @@
     fn is_evictable(&self) -> bool {
         true
     }
+    /// Bytes that the handler holds besides input and output, for the memory budget.
+    fn held_bytes(&self) -> usize {
+        0
+    }
     /// All bytes of the output were written to the socket.
     fn on_written(&mut self, _out: &mut ConnectionOutput<Self::Event>) {}
     /// The connection was closed, by either end.
--- a/crates/driver/src/transport/memory_budget.rs
+++ b/crates/driver/src/transport/memory_budget.rs
@@ -42,6 +42,11 @@
         self.0.reserved.load(Ordering::Relaxed)
     }
 
+    /// Whether the capacity is reserved completely.
+    pub fn is_exhausted(&self) -> bool {
+        self.reserved() >= self.capacity()
+    }
+
     /// Creates a reservation of zero bytes, to be resized later.
     pub fn empty_reservation(&self) -> MemoryReservation {
         MemoryReservation {
@@ -58,11 +63,21 @@
 }
 
 impl MemoryReservation {
+    /// Capacity of the budget.
+    pub fn budget_capacity(&self) -> usize {
+        self.budget.capacity()
+    }
+
     /// Changes the size if the budget permits it, and returns whether it did. Shrinking always succeeds.
     pub fn resize(&mut self, bytes: usize) -> bool {
+        self.resize_with_headroom(bytes, 0)
+    }
+
+    /// Like [`MemoryReservation::resize`], but leaves `headroom` bytes of the capacity to others.
+    pub fn resize_with_headroom(&mut self, bytes: usize, headroom: usize) -> bool {
         let previous = self.bytes;
         self.force_resize(bytes);
-        let fits = bytes <= previous || self.budget.reserved() <= self.budget.capacity();
+        let fits = bytes <= previous || self.budget.reserved() + headroom <= self.budget.capacity();
         if !fits {
             self.force_resize(previous);
         }
--- a/crates/driver/tests/protocol/client_session.rs
+++ b/crates/driver/tests/protocol/client_session.rs
@@ -5,7 +5,8 @@
 /// Statements beyond the memory budget are rejected immediately.
 #[test]
 fn on_input_statement_beyond_memory_budget_is_rejected() {
-    let (budget, mut input) = (MemoryBudget::new(20), Vec::new());
+    let statement_bytes = client_events::STATEMENT_BYTES + "SELECT 1".len();
+    let (budget, mut input) = (MemoryBudget::new(2 * statement_bytes + 4), Vec::new());
     let mut sessions =
         [1, 2, 3].map(|n| (ClientSession::new(n, budget.clone()), ConnectionOutput::default()));
     for (index, (session, out)) in sessions.iter_mut().enumerate() {
@@ -22,14 +23,19 @@
             format!("{STARTUP_RESPONSE}{expected_output}")
         );
     }
-    assert_eq!(budget.reserved(), 16);
+    assert_eq!(budget.reserved(), 2 * statement_bytes);
     drop(sessions);
     assert_eq!(budget.reserved(), 0, "released with the statement");
     // A partly written answer is always reserved, and statements are rejected meanwhile.
     let mut unwritten = budget.empty_reservation();
-    unwritten.force_resize(50);
-    assert!(budget.reserved() == 50 && client_events::StatementText::new("SELECT 1", &budget).is_none());
-    assert!(unwritten.resize(9) && client_events::StatementText::new("SELECT 1", &budget).is_some());
+    unwritten.force_resize(5 * statement_bytes);
+    assert!(
+        budget.reserved() == 5 * statement_bytes
+            && client_events::StatementText::new("SELECT 1", &budget).is_none()
+    );
+    assert!(
+        unwritten.resize(statement_bytes) && client_events::StatementText::new("SELECT 1", &budget).is_some()
+    );
 }
 
 /// Guards against a queue that grows without end: each rejected statement of a client that sends without pause
--- a/crates/driver/tests/routing/configuration.rs
+++ b/crates/driver/tests/routing/configuration.rs
@@ -1,7 +1,8 @@
 //! Changes of configuration and limits.
 
 use super::harness::{harness_with_client, rows};
-use asterlatch_driver::protocol::client_events::StatementText;
+use asterlatch_driver::protocol::client_events::{StatementText, STATEMENT_BYTES};
+use asterlatch_driver::routing::limits::Limits;
 use asterlatch_driver::routing::runtime_config::RuntimeConfig;
 
 /// Lower limits on descriptors or memory apply to new clients and statements only.
@@ -27,9 +28,10 @@
     );
     harness.reply(connection, rows("v"), Some(false));
     assert_eq!(harness.received(1), "rows(v)");
-    // A quarter of the memory is for client input. A statement's reservation ends with its answer.
+    // A statement's reservation ends with its answer.
     assert_eq!(harness.client_memory.reserved(), 0);
-    let memory = 400;
+    // The part of the memory that is for client input holds one statement.
+    let memory = 16 * (STATEMENT_BYTES + 100);
     harness.event_loop.set_config(
         harness.now,
         RuntimeConfig {
@@ -44,3 +46,35 @@
     drop(reserved);
     assert!(StatementText::new(&"x".repeat(60), &harness.client_memory).is_some());
 }
+
+/// Guards against a process that passes its memory limit: the budgets left no memory for connections.
+#[test]
+fn memory_budgets_leave_memory_for_the_process_and_its_connections() {
+    const MB: usize = 1 << 20;
+    const USED_BY_PROCESS: usize = 5 * MB;
+    const USED_BY_CONNECTION: usize = 14 << 10;
+    for (memory_mb, max_descriptors, has_full_share) in [
+        (32, 256, true),
+        (32, 1024, false),
+        (192, 256, true),
+        (192, 1024, true),
+    ] {
+        let limits = Limits::default();
+        let config = RuntimeConfig {
+            discovery: "10.0.1.1:80".parse().expect("parse the address"),
+            max_descriptors,
+            max_memory: memory_mb * MB,
+        };
+        let budgets = config.memory_budgets(&limits);
+        let (clients, members) = (budgets.clients.capacity(), budgets.members.capacity());
+        let connections = config.connection_capacity(&limits);
+        let connections = (connections.clients + connections.members) * USED_BY_CONNECTION;
+        let case = format!("{memory_mb} MB, {max_descriptors} descriptors");
+        assert!(
+            USED_BY_PROCESS + connections + clients + members <= config.max_memory,
+            "{case}"
+        );
+        let full_share = limits.client_memory_share.of(config.max_memory);
+        assert_eq!(clients == full_share, has_full_share, "{case}");
+    }
+}
--- a/crates/driver/tests/transport.rs
+++ b/crates/driver/tests/transport.rs
@@ -94,3 +94,48 @@
     assert_eq!(events.recv_timeout(Duration::from_secs(30)), Ok((2, true)));
     drop((outbound, inbound));
 }
+
+/// Keeps all input, and reports the memory that it takes.
+struct InputKeeper;
+
+impl ConnectionHandler for InputKeeper {
+    type Command = ();
+    type Event = usize;
+    fn on_input(&mut self, input: &mut Vec<u8>, _at: Timestamp, out: &mut ConnectionOutput<usize>) {
+        out.events.push(input.capacity());
+    }
+    fn on_command(&mut self, _command: (), _at: Timestamp, _out: &mut ConnectionOutput<usize>) {}
+    fn on_closed(&mut self, _at: Timestamp, _out: &mut ConnectionOutput<usize>) {}
+    fn wants_input(&self, _unused: usize) -> bool {
+        true
+    }
+}
+
+/// Guards against a process that passes its memory limit: buffers of messages that arrive slowly took up to twice
+/// the memory that was counted.
+#[test]
+fn input_of_slow_peer_reserves_all_memory_that_it_takes() {
+    const PART_BYTES: usize = 1000;
+    start(CoroutineStacks::default());
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a listener");
+    let address = listener.local_addr().expect("read the listener's address");
+    let (queue, events) = channel();
+    let budget = MemoryBudget::new(1 << 20);
+    let context = (Clock::start(), &budget);
+    let _handle = dial(address, InputKeeper, &queue, context).expect("open a connection");
+    let (mut peer, _) = listener.accept().expect("accept a connection");
+    let mut previous_capacity = 0;
+    for parts in 1..200 {
+        peer.write_all(&[b'x'; PART_BYTES]).expect("write a part");
+        let capacity = events.recv_timeout(Duration::from_secs(30));
+        let capacity = capacity.expect("receive the event of the part");
+        let received = parts * PART_BYTES;
+        assert!(
+            capacity <= received + received / 4,
+            "{capacity} bytes are allocated for {received}"
+        );
+        // The event of this part follows the reservation for the last one.
+        assert!(budget.reserved() + 1024 >= previous_capacity);
+        previous_capacity = capacity;
+    }
+}
