A connection with endless input yields after 1 ms

Callers saw: while one client sent empty queries at full speed on one connection, other clients' answers came late (median 39 ms in place of 7); with six such clients 140 of 204 reads were refused.

Cause: the coroutine thread handled 32 reads of 16 KB of a connection before another one had its turn, and a statement needs that thread four times.

Change: a connection yields after 1 ms.

Evidence: in the new test 26 reads came before the other connection's turn on the code before; at most two may now.

--- a/crates/driver/src/transport/connection/coroutine.rs
+++ b/crates/driver/src/transport/connection/coroutine.rs
@@ -5,7 +5,7 @@
 use crate::transport::event_registration;
 use crate::transport::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::transport::socket_errors::{self, NextStep, SocketError};
-use asterlatch::time::Timestamp;
+use asterlatch::time::{TimeSpan, Timestamp};
 use may::io::{CoIo, WaitIo};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::RefCell;
@@ -23,8 +23,8 @@
 /// Incomplete messages leave the budget's capacity divided by this to other uses, so that clients that stop in
 /// the middle of large requests don't have all other statements rejected.
 const INCOMPLETE_MESSAGE_DIVISOR: usize = 4;
-/// Consecutive steps after which a connection yields to others.
-const MAX_CONSECUTIVE_STEPS: usize = 32;
+/// Time for which a connection that always has input runs before it yields to others.
+const MAX_SLICE: TimeSpan = TimeSpan::millis(1);
 /// Maximum input that is discarded after the sending side was closed. Closing a socket with unread input
 /// resets the connection, and the peer loses answers that it has not read yet.
 const MAX_LINGERING_BYTES: usize = 256 * 1024;
@@ -350,19 +350,19 @@
     }
 
     fn run(mut self) {
-        let mut consecutive_steps = 0;
+        let mut slice_ends_at = self.clock.now() + MAX_SLICE;
         loop {
             match self.step() {
                 Flow::Wait => {
                     self.io.wait_io();
-                    consecutive_steps = 0;
+                    slice_ends_at = self.clock.now() + MAX_SLICE;
                 }
                 // A yielding coroutine would run again before sockets are polled; a new coroutine does not.
-                Flow::Continue if consecutive_steps == MAX_CONSECUTIVE_STEPS => {
+                Flow::Continue if self.clock.now() >= slice_ends_at => {
                     may::go!(move || self.run());
                     return;
                 }
-                Flow::Continue => consecutive_steps += 1,
+                Flow::Continue => {}
                 Flow::Pause => may::coroutine::sleep(RETRY_DELAY),
                 Flow::Close => break,
                 Flow::HandOver => return self.hand_over(),
--- a/crates/driver/tests/transport.rs
+++ b/crates/driver/tests/transport.rs
@@ -10,7 +10,7 @@
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::channel;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// On input, reports its id and whether `TCP_NODELAY` was set.
 struct FirstByteReporter(u32, bool);
@@ -139,3 +139,93 @@
         previous_capacity = capacity;
     }
 }
+
+/// Event of [`SlowReader`] and of the connection that competes with it.
+#[derive(Debug, PartialEq)]
+enum Turn {
+    /// The slow reader has handled this read, and written a byte to the other connection before if it says so.
+    Slow { wrote_to_other: bool },
+    /// The other connection has received its byte.
+    Other,
+}
+
+/// Takes long for each read. Writes a byte to another connection from time to time.
+struct SlowReader {
+    reads: u32,
+    to_other: TcpStream,
+}
+
+impl SlowReader {
+    const READS_PER_BYTE: u32 = 40;
+}
+
+impl ConnectionHandler for SlowReader {
+    type Command = ();
+    type Event = Turn;
+    fn on_input(&mut self, input: &mut Vec<u8>, _at: Timestamp, out: &mut ConnectionOutput<Turn>) {
+        input.clear();
+        self.reads += 1;
+        let wrote_to_other = self.reads.is_multiple_of(SlowReader::READS_PER_BYTE);
+        if wrote_to_other {
+            self.to_other.write_all(b"x").expect("write a byte");
+        }
+        let started_at = Instant::now();
+        while started_at.elapsed() < Duration::from_millis(2) {}
+        out.events.push(Turn::Slow { wrote_to_other });
+    }
+    fn on_command(&mut self, _command: (), _at: Timestamp, _out: &mut ConnectionOutput<Turn>) {}
+    fn on_closed(&mut self, _at: Timestamp, _out: &mut ConnectionOutput<Turn>) {}
+    fn wants_input(&self, _unused: usize) -> bool {
+        true
+    }
+}
+
+/// Reports each byte.
+struct OtherReader;
+
+impl ConnectionHandler for OtherReader {
+    type Command = ();
+    type Event = Turn;
+    fn on_input(&mut self, input: &mut Vec<u8>, _at: Timestamp, out: &mut ConnectionOutput<Turn>) {
+        out.events.extend(input.drain(..).map(|_| Turn::Other));
+    }
+    fn on_command(&mut self, _command: (), _at: Timestamp, _out: &mut ConnectionOutput<Turn>) {}
+    fn on_closed(&mut self, _at: Timestamp, _out: &mut ConnectionOutput<Turn>) {}
+    fn wants_input(&self, _unused: usize) -> bool {
+        true
+    }
+}
+
+/// Guards against late answers: a client that sent small requests without pause on one connection had 32 reads
+/// handled before any other connection had its turn. The slow reader itself writes the other one's byte, so that
+/// the order of the two is certain.
+#[test]
+fn connection_with_endless_input_yields_to_others() {
+    start(CoroutineStacks::default());
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a listener");
+    let address = listener.local_addr().expect("read the listener's address");
+    let (queue, events) = channel::<Turn>();
+    let context = (Clock::start(), &MemoryBudget::new(1 << 20));
+    let _other = dial(address, OtherReader, &queue, context).expect("open a connection");
+    let (to_other, _) = listener.accept().expect("accept a connection");
+    let slow_reader = SlowReader { reads: 0, to_other };
+    let _slow = dial(address, slow_reader, &queue, context).expect("open a connection");
+    let (mut peer, _) = listener.accept().expect("accept a connection");
+    std::thread::spawn(move || while peer.write_all(&[b'x'; 64 * 1024]).is_ok() {});
+    let next = || {
+        events
+            .recv_timeout(Duration::from_secs(30))
+            .expect("receive an event")
+    };
+    for round in 0..6 {
+        while next() != (Turn::Slow { wrote_to_other: true }) {}
+        let mut reads = 0;
+        while next() != Turn::Other {
+            reads += 1;
+        }
+        assert!(
+            reads <= 2,
+            "round {round}: {reads} reads before the other connection's turn"
+        );
+    }
+}
