A client's close is noticed behind what it has sent ahead

Cause: with 16 statements open, 16 KB were read ahead. The kernel reports a close only behind all input, and a full receive buffer keeps the rest at the client; each answer made room for another statement, which was sent on. What was read was reported before the read that may bring the close.

Change: 256 KB are read ahead as memory permits. Behind more, statements are refused (53300) until the client was quiet for 50 ms. Statements are reported after the read that shows what is behind them. Unread statements of a client that has closed its side get their answer.

Evidence: in the new test 226 of 300 statements were sent on before, at most 16 may be now.

--- a/crates/driver/src/protocol/client_session.rs
+++ b/crates/driver/src/protocol/client_session.rs
@@ -4,18 +4,24 @@
 use super::messages::{self, NextMessage, HEADER_BYTES};
 use super::pipeline::{AnsweredStatement, Pipeline};
 use super::startup::{self, Startup};
-use super::statement_comment::{CLIENT_DISCONNECTED, OUT_OF_MEMORY, TOO_LARGE, TOO_MANY_CONNECTIONS};
+use super::statement_comment::{
+    CLIENT_DISCONNECTED, OUT_OF_MEMORY, TOO_FAR_AHEAD, TOO_LARGE, TOO_MANY_CONNECTIONS,
+};
 use crate::transport::connection::{ConnectionHandler, ConnectionOutput};
 use crate::transport::io_journal::IoJournalWriter;
 use crate::transport::memory_budget::MemoryBudget;
-use asterlatch::time::Timestamp;
+use asterlatch::time::{TimeSpan, Timestamp};
 use asterlatch_handover::io_journal::JournalRecord;
 use std::net::TcpStream;
 use std::os::fd::AsFd;
 
 /// Maximum unconsumed input that is read while statements are open. Unread input is lost when the connection
-/// closes, so a pipeline of usual statements fits.
-const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+/// closes and hides the client's close, so a pipeline of usual statements fits.
+pub const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
+/// Time without input after which no more input is on its way from a client that had sent too much ahead.
+const BACKLOG_QUIET_TIME: TimeSpan = TimeSpan::millis(50);
+/// Input that is read ahead leaves the budget's capacity divided by this to other uses.
+const READ_AHEAD_HEADROOM_DIVISOR: usize = 4;
 
 #[derive(Clone, Copy, PartialEq)]
 enum State {
@@ -40,6 +46,13 @@
     is_all_read: bool,
     /// Remaining bytes of an oversized query, to be skipped.
     bytes_to_skip: usize,
+    /// The socket holds input that is not read, or did so a short time ago. The client may have closed its side
+    /// unnoticed.
+    is_backlogged: bool,
+    /// Time of the last input.
+    last_input_at: Timestamp,
+    /// When all input of the socket was read; `None` if more has arrived since.
+    quiet_since: Option<Timestamp>,
     pipeline: Pipeline,
     /// Statements rejected for lack of memory that were not reported yet.
     rejected_for_memory: u64,
@@ -72,6 +85,9 @@
             is_input_ended: false,
             is_all_read: false,
             bytes_to_skip: 0,
+            is_backlogged: false,
+            last_input_at: Timestamp::default(),
+            quiet_since: None,
             pipeline: Pipeline::default(),
             rejected_for_memory: 0,
             budget,
@@ -241,6 +257,8 @@
             self.pipeline.push_answered(end, answer);
         } else if self.is_input_ended {
             self.pipeline.push_rejected(end, CLIENT_DISCONNECTED);
+        } else if self.is_backlogged {
+            self.pipeline.push_rejected(end, TOO_FAR_AHEAD);
         } else if let Some(text) = StatementText::new(text, &self.budget) {
             let number = self.pipeline.push_open(end);
             out.events.push(ClientEvent::Statement {
@@ -281,6 +299,19 @@
         }
     }
 
+    /// Rejects the statements that were read and not yet reported, since the client has closed its side behind
+    /// them.
+    fn reject_unreported(&mut self, out: &mut Output) {
+        for event in std::mem::take(&mut out.events) {
+            if let ClientEvent::Statement { number, .. } = event {
+                self.pipeline.answer(number, CLIENT_DISCONNECTED.into());
+            } else {
+                out.events.push(event);
+            }
+        }
+        self.write_answers(out);
+    }
+
     /// Closes the connection of a client that has closed its side and received all answers.
     fn close_if_input_ended(&mut self, out: &mut Output) {
         if self.is_input_ended && self.is_all_read && self.pipeline.is_empty() && self.state != State::Closed
@@ -366,6 +397,19 @@
         consumed_total
     }
 
+    /// Ends a backlog when input arrives after a time without any: nothing else was on its way then, and the
+    /// client's close would have been noticed.
+    fn update_backlog(&mut self, input_at: Timestamp) {
+        if input_at <= self.last_input_at {
+            return;
+        }
+        self.last_input_at = input_at;
+        let quiet_since = self.quiet_since.take();
+        if quiet_since.is_some_and(|since| input_at - since > BACKLOG_QUIET_TIME) {
+            self.is_backlogged = false;
+        }
+    }
+
     /// Reports the statements that were rejected for lack of memory by one event for all: a client that sends
     /// them without pause would flood the event loop's queue.
     fn report_rejections(&mut self, out: &mut Output) {
@@ -426,6 +470,7 @@
     }
 
     fn on_input(&mut self, input: &mut Vec<u8>, at: Timestamp, out: &mut Output) {
+        self.update_backlog(at);
         let consumed_total = self.read_messages(input, at, out);
         self.report_rejections(out);
         input.drain(..consumed_total);
@@ -455,9 +500,15 @@
         }
     }
 
+    fn on_backlog(&mut self) {
+        self.is_backlogged = true;
+    }
+
     fn on_input_ended(&mut self, is_all_read: bool, out: &mut Output) -> bool {
+        self.reject_unreported(out);
         let has_pending_answers = !self.pipeline.is_empty() || !out.bytes.is_empty();
-        if self.state != State::Ready || !has_pending_answers {
+        // Statements that are still unread get an answer, too.
+        if self.state != State::Ready || (is_all_read && !has_pending_answers) {
             return false;
         }
         if !self.is_input_ended && !self.pipeline.is_empty() {
@@ -465,7 +516,6 @@
         }
         self.is_input_ended = true;
         self.is_all_read = is_all_read;
-        self.close_if_input_ended(out);
         true
     }
 
@@ -474,7 +524,8 @@
         self.close_with_error("53300", "no memory is left for the message", out);
     }
 
-    fn on_all_read(&mut self, out: &mut Output) {
+    fn on_all_read(&mut self, at: Timestamp, out: &mut Output) {
+        self.quiet_since.get_or_insert(at);
         if self.can_close() && !self.is_handing_over {
             self.close_idle(out);
         }
@@ -513,6 +564,7 @@
 
     fn on_closed(&mut self, _at: Timestamp, out: &mut Output) {
         self.state = State::Closed;
+        self.reject_unreported(out);
         self.record(|| JournalRecord::Closed { client: self.client });
         out.events.push(ClientEvent::Closed { client: self.client });
     }
@@ -524,7 +576,8 @@
             return false;
         }
         if !self.pipeline.is_empty() {
-            return unconsumed <= MAX_READ_AHEAD_BYTES && !self.budget.is_exhausted();
+            let headroom = self.budget.capacity() / READ_AHEAD_HEADROOM_DIVISOR;
+            return unconsumed <= MAX_READ_AHEAD_BYTES && self.budget.has_room_for(headroom);
         }
         unconsumed <= messages::max_message_bytes(self.budget.capacity()) + HEADER_BYTES
     }
--- a/crates/driver/src/protocol/statement_comment.rs
+++ b/crates/driver/src/protocol/statement_comment.rs
@@ -62,6 +62,8 @@
 /// The client has closed its side of the connection.
 pub const CLIENT_DISCONNECTED: StatementError =
     error("53300", "the client has closed its side of the connection");
+/// The client has sent more ahead than is read, so that its disconnect could go unnoticed.
+pub const TOO_FAR_AHEAD: StatementError = error("53300", "too much was sent ahead of this statement");
 /// The connection limit is reached.
 pub const TOO_MANY_CONNECTIONS: StatementError = error("53300", "too many connections");
 /// The statement exceeds the message limit.
--- a/crates/driver/src/transport/connection/coroutine.rs
+++ b/crates/driver/src/transport/connection/coroutine.rs
@@ -129,28 +129,32 @@
             Ok(0) => {
                 self.handler.on_peer_closed(&self.input, &mut self.out);
                 self.is_input_ended = self.handler.on_input_ended(true, &mut self.out);
-                if self.is_input_ended {
-                    Flow::Wait
-                } else {
-                    Flow::Close
+                if !self.is_input_ended {
+                    return Flow::Close;
                 }
+                self.handle_input();
+                Flow::Wait
             }
             Ok(_) => {
                 self.read_at = self.clock.now();
-                self.handler
-                    .on_input(&mut self.input, self.read_at, &mut self.out);
+                self.handle_input();
                 Flow::Continue
             }
             Err(error) => {
                 let flow = socket_errors::receive(&error).into();
                 if flow == Flow::Wait {
-                    self.handler.on_all_read(&mut self.out);
+                    self.handler.on_all_read(self.clock.now(), &mut self.out);
                 }
                 flow
             }
         }
     }
 
+    fn handle_input(&mut self) {
+        self.handler
+            .on_input(&mut self.input, self.read_at, &mut self.out);
+    }
+
     fn read_into_input(&mut self) -> io::Result<usize> {
         READ_BUFFER.with_borrow_mut(|buffer| {
             let count = if self.handler.is_journaled() {
@@ -171,7 +175,7 @@
         if !self.handler.is_server() {
             return Flow::Wait;
         }
-        let Some(events) = self.poll_hangup() else {
+        let Some(events) = self.poll_socket() else {
             // The kernel is out of memory.
             return Flow::Pause;
         };
@@ -179,15 +183,21 @@
             return Flow::Close;
         }
         let is_half_closed = events.contains(PollFlags::RDHUP) && !self.is_input_ended;
-        if is_half_closed && !self.handler.on_input_ended(false, &mut self.out) {
-            return Flow::Close;
+        if is_half_closed {
+            if !self.handler.on_input_ended(false, &mut self.out) {
+                return Flow::Close;
+            }
+            self.handle_input();
+        }
+        if events.contains(PollFlags::IN) && !self.handler.wants_input(self.input.len()) {
+            self.handler.on_backlog();
         }
         Flow::Wait
     }
 
-    /// Polls for a closed or failed connection; `None` if polling fails.
-    fn poll_hangup(&self) -> Option<PollFlags> {
-        let mut fds = [PollFd::new(self.io.inner(), PollFlags::RDHUP)];
+    /// Polls for unread input and a closed or failed connection; `None` if polling fails.
+    fn poll_socket(&self) -> Option<PollFlags> {
+        let mut fds = [PollFd::new(self.io.inner(), PollFlags::IN | PollFlags::RDHUP)];
         let no_wait = Timespec::default();
         poll(&mut fds, Some(&no_wait)).ok()?;
         Some(fds[0].revents())
@@ -282,7 +292,10 @@
         if !previously_wanted_input && self.wants_input() && flow == Flow::Wait {
             flow = Flow::Continue;
         }
-        self.report_events();
+        // A server reports what it has read once it knows that the client has not closed its side behind it.
+        if flow != Flow::Continue || !self.handler.is_server() {
+            self.report_events();
+        }
         self.finish_step(flow)
     }
 
@@ -291,8 +304,7 @@
             match self.commands.try_recv() {
                 Ok(command) => {
                     self.handler.on_command(command, self.clock.now(), &mut self.out);
-                    self.handler
-                        .on_input(&mut self.input, self.read_at, &mut self.out);
+                    self.handle_input();
                 }
                 Err(TryRecvError::Empty) => break,
                 Err(TryRecvError::Disconnected) => flow = Flow::Close,
@@ -359,6 +371,10 @@
                 }
                 // A yielding coroutine would run again before sockets are polled; a new coroutine does not.
                 Flow::Continue if self.clock.now() >= slice_ends_at => {
+                    if self.detect_peer_close() == Flow::Close {
+                        break;
+                    }
+                    self.report_events();
                     may::go!(move || self.run());
                     return;
                 }
--- a/crates/driver/src/transport/connection/mod.rs
+++ b/crates/driver/src/transport/connection/mod.rs
@@ -68,12 +68,15 @@
     fn on_peer_closed(&mut self, _input: &[u8], _out: &mut ConnectionOutput<Self::Event>) {}
     /// The peer of a server has closed its side: it has disconnected, or still waits for answers.
     /// `is_all_read` tells whether all its input was read. Returns whether the connection stays open until
-    /// the handler closes it. May be called repeatedly.
+    /// the handler closes it; if so, `on_input` follows. May be called repeatedly.
     fn on_input_ended(&mut self, _is_all_read: bool, _out: &mut ConnectionOutput<Self::Event>) -> bool {
         false
     }
-    /// All input that the socket held was read.
-    fn on_all_read(&mut self, _out: &mut ConnectionOutput<Self::Event>) {}
+    /// The socket holds input that `wants_input` has declined. The peer may have closed its side behind that input
+    /// and behind input that is still on its way.
+    fn on_backlog(&mut self) {}
+    /// All input that the socket held at `_at` was read.
+    fn on_all_read(&mut self, _at: Timestamp, _out: &mut ConnectionOutput<Self::Event>) {}
     /// Whether this is the server side of the protocol. Such a connection closes gracefully: it closes its
     /// sending side and discards input until the peer closes the other side or the handle is dropped. A
     /// peer's disconnect is detected even while its input is not read.
@@ -93,7 +96,7 @@
     }
     /// All bytes of the output were written to the socket.
     fn on_written(&mut self, _out: &mut ConnectionOutput<Self::Event>) {}
-    /// The connection was closed, by either end.
+    /// The connection was closed, by either end. `out` has the events that were not reported yet.
     fn on_closed(&mut self, at: Timestamp, out: &mut ConnectionOutput<Self::Event>);
     /// The buffered bytes exceed the memory budget, so the connection will be closed.
     fn on_memory_exhausted(&mut self, _out: &mut ConnectionOutput<Self::Event>) {}
--- a/crates/driver/src/transport/memory_budget.rs
+++ b/crates/driver/src/transport/memory_budget.rs
@@ -42,9 +42,9 @@
         self.0.reserved.load(Ordering::Relaxed)
     }
 
-    /// Whether the capacity is reserved completely.
-    pub fn is_exhausted(&self) -> bool {
-        self.reserved() >= self.capacity()
+    /// Whether more than `bytes` of the capacity are free.
+    pub fn has_room_for(&self, bytes: usize) -> bool {
+        self.reserved() + bytes < self.capacity()
     }
 
     /// Creates a reservation of zero bytes, to be resized later.
--- a/crates/driver/tests/connection_closing.rs
+++ b/crates/driver/tests/connection_closing.rs
@@ -359,3 +359,32 @@
     assert!(new_member.next_event().contains("c=post"));
     assert_eq!(read_answer(&mut client).0, "T D C Z");
 }
+
+/// Guards against attempts behind a client's leave: a client that had sent much ahead closed its side, and its
+/// statements were sent on one after another as earlier ones were answered.
+#[test]
+fn close_behind_unread_statements_has_no_more_of_them_sent_on() {
+    const STATEMENTS: usize = 300;
+    const MAX_OPEN: usize = 16;
+    let member = start_member(MemberBehavior::AnswerOnRelease);
+    let process = start_driver("unread-statements", member.address);
+    let mut client = process.connect();
+    for number in 0..STATEMENTS {
+        let key = "x".repeat(1000);
+        let text = format!(
+            "/* id=u{number},c=view,d=25000,cluster=1 */ SELECT blob FROM rows WHERE handle = '{key}'\0"
+        );
+        let statement = message(b'Q', text.as_bytes());
+        client.write_all(&statement).expect("write a statement");
+    }
+    client.shutdown(Shutdown::Write).expect("close the sending side");
+    for _ in 0..STATEMENTS {
+        member.release.send(()).expect("release a statement");
+    }
+    let answers = (0..STATEMENTS).filter(|_| read_answer(&mut client).0.ends_with('Z'));
+    assert_eq!(answers.count(), STATEMENTS, "each statement has its answer");
+    assert_eq!(read_remaining(&mut client), (Vec::new(), "end".to_owned()));
+    let sent_on = member.events.try_iter().filter(|event| event.contains("id=u"));
+    let sent_on = sent_on.count();
+    assert!(sent_on <= MAX_OPEN, "{sent_on} of {STATEMENTS} were sent on");
+}
