An id that may have been executed is not executed again

Cause: an id was known only while its statement was open; what a member may have done was forgotten when the client left or was answered. The log of dispatched ids existed only where gossip is on.

The test of the event loop fails on the code before ('its client leaves': the second statement is sent).

duplicate_open_id_reaches_no_member checked that a payment's id is free once it was answered. That is the fault: it checks a read's id now, and the new test that a payment's is refused. The log of dispatches counts the time of other processes from their end, so that bounds set later hold for it.

--- a/crates/driver/src/program/serve/startup.rs
+++ b/crates/driver/src/program/serve/startup.rs
@@ -46,6 +46,11 @@
         let now = self.clock.now();
         let mut event_loop = EventLoop::new(settings, decoding, options, now, Log::default());
         if let Some(resumed) = resumed {
+            if resumed.learned.facts.is_none() {
+                let text =
+                    "the predecessor is of an earlier build: ids that it has dispatched are not known here";
+                log!(event_loop.logger, now, "upgrade", "{text}");
+            }
             event_loop.resume(self.clock.now(), settings, resumed.learned);
         } else if let Some(list) = &self.config.known_endpoints {
             event_loop.start_with_list(self.clock.now(), list);
--- a/crates/driver/src/program/upgrade/co_serving.rs
+++ b/crates/driver/src/program/upgrade/co_serving.rs
@@ -21,7 +21,7 @@
     answer.map(|message| HandoverMessage::CoServing(vec![message]))
 }
 
-/// The next message to the peer process, about draining members and executions in flight; `None` if there is
+/// The next message to the peer process, about draining members, executions in flight and learned facts; `None` if there is
 /// nothing new.
 pub(super) fn next_message(
     event_loop: &mut EventLoop<Log>,
@@ -33,5 +33,9 @@
         .filter_map(|member| state.drain_update(&member.name, member.started_ms))
         .collect();
     messages.extend(state.in_flight_updates(event_loop.in_flight_by_member()));
+    if state.peer_accepts_facts() {
+        let facts = event_loop.take_learned_facts().into_iter();
+        messages.extend(facts.map(CoServingMessage::Learned));
+    }
     (!messages.is_empty()).then_some(HandoverMessage::CoServing(messages))
 }
--- a/crates/driver/src/program/upgrade/handover_state.rs
+++ b/crates/driver/src/program/upgrade/handover_state.rs
@@ -5,6 +5,7 @@
 use crate::transport::clock::Clock;
 use asterlatch::time::{TimeSpan, Timestamp};
 use asterlatch_handover::codec::monotonic_micros;
+use asterlatch_handover::learned_fact::LearnedFact;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -52,12 +53,14 @@
     ListenerMissing,
 }
 
-/// Serializes the state of a service whose settings have this hash.
+/// Serializes the state of a service whose settings have this hash. The facts follow the state: earlier builds
+/// ignore what follows it.
 ///
 /// # Errors
 /// If a part can't be serialized.
 pub(super) fn serialize(
     event_loop: &EventLoop<Log>,
+    facts: &[LearnedFact],
     now: Timestamp,
     settings_hash: u64,
 ) -> Result<Vec<u8>, postcard::Error> {
@@ -70,7 +73,9 @@
         policy: postcard::to_stdvec(learned.policy)?,
         members: postcard::to_stdvec(learned.members)?,
     };
-    postcard::to_stdvec(&state)
+    let mut bytes = postcard::to_stdvec(&state)?;
+    bytes.extend(postcard::to_stdvec(facts)?);
+    Ok(bytes)
 }
 
 /// State from which a successor resumes the service.
@@ -86,7 +91,8 @@
 /// # Errors
 /// If the state can't be decoded, or has another version or other settings.
 pub(super) fn deserialize(bytes: &[u8], settings_hash: u64) -> Result<ResumedService, HandoverStateError> {
-    let state: HandoverState = postcard::from_bytes(bytes).map_err(HandoverStateError::Unreadable)?;
+    let decoded = postcard::take_from_bytes::<HandoverState>(bytes);
+    let (state, rest) = decoded.map_err(HandoverStateError::Unreadable)?;
     if state.version != STATE_VERSION {
         return Err(HandoverStateError::VersionMismatch {
             version: state.version,
@@ -95,10 +101,18 @@
     if state.settings_hash != settings_hash {
         return Err(HandoverStateError::SettingsChanged);
     }
+    let facts = match rest {
+        [] => None,
+        rest => Some(postcard::from_bytes(rest).map_err(HandoverStateError::Unreadable)?),
+    };
     let policy = postcard::from_bytes(&state.policy).map_err(HandoverStateError::PolicyUnreadable)?;
     let members = postcard::from_bytes(&state.members).map_err(HandoverStateError::MembersUnreadable)?;
     Ok(ResumedService {
         clock: Clock::resume(state.now, state.monotonic, TimeSpan(monotonic_micros())),
-        learned: ResumedState { policy, members },
+        learned: ResumedState {
+            policy,
+            members,
+            facts,
+        },
     })
 }
--- a/crates/driver/src/program/upgrade/predecessor.rs
+++ b/crates/driver/src/program/upgrade/predecessor.rs
@@ -113,9 +113,10 @@
         if self.state_machine.next_deadline() <= now {
             self.on_event(event_loop, now, predecessor::Event::TimerElapsed);
         }
+        // Facts arrive ahead of the clients that may depend on them.
+        self.send_co_serving(event_loop);
         self.move_member_connections(event_loop);
         self.move_clients(event_loop, now);
-        self.send_co_serving(event_loop);
     }
 
     /// When [`PredecessorRole::advance_to`] is next due.
@@ -239,7 +240,8 @@
     /// Sends state and descriptors. If either fails nothing is sent, and the successor's timeout ends the
     /// upgrade.
     fn send_state(&mut self, event_loop: &mut EventLoop<Log>, now: Timestamp) {
-        let state = match serialize(event_loop, now, self.settings_hash) {
+        let facts = event_loop.begin_telling_facts();
+        let state = match serialize(event_loop, &facts, now, self.settings_hash) {
             Ok(state) => state,
             Err(error) => {
                 log!(
@@ -285,6 +287,9 @@
             return;
         };
         let reclaimed = self.retained_clients.reclaim(&abandoned);
+        for fact in &reclaimed.facts {
+            event_loop.learn_fact(now, fact);
+        }
         let count = reclaimed.clients.len();
         let disconnected = reclaimed.disconnected;
         event_loop.metrics.clients_taken_back += count as u64;
--- a/crates/driver/src/program/upgrade/retained_clients.rs
+++ b/crates/driver/src/program/upgrade/retained_clients.rs
@@ -10,8 +10,9 @@
     ClientRecovery, ConnectionKey, JournalRecord, JournalReplay, RecoveredClient, ReplayError,
     SocketByteCounts,
 };
+use asterlatch_handover::learned_fact::LearnedFact;
 use asterlatch_handover::message::ClientState;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::os::fd::OwnedFd;
@@ -115,6 +116,8 @@
 pub(super) struct Reclaimed {
     /// Clients that this process can resume.
     pub(super) clients: Vec<TransferredClient>,
+    /// What the successor has learned.
+    pub(super) facts: VecDeque<LearnedFact>,
     /// Number of clients that were disconnected, since no consistent answer to them is possible.
     pub(super) disconnected: u64,
     /// Why no client can be resumed, if the journal is incomplete; for the log.
@@ -178,20 +181,25 @@
     /// `abandoned` is the event descriptor through which it reports that it stopped writing the journal.
     pub(super) fn reclaim(&self, abandoned: &OwnedFd) -> Reclaimed {
         let table = std::mem::take(&mut *self.table());
-        let Some(replay) = table.replay else {
+        let Some(mut replay) = table.replay else {
             return Reclaimed {
                 incomplete: table.error.map(|error| format!("{error:?}")),
                 ..Reclaimed::default()
             };
         };
+        let facts = replay.take_facts();
         if is_abandoned(abandoned) {
             return Reclaimed {
                 clients: Vec::new(),
+                facts,
                 disconnected: table.sockets.len() as u64,
                 incomplete: Some("the successor stopped writing it".to_owned()),
             };
         }
-        recover(replay, table.sockets)
+        Reclaimed {
+            facts,
+            ..recover(replay, table.sockets)
+        }
     }
 }
 
--- a/crates/driver/src/program/upgrade/successor.rs
+++ b/crates/driver/src/program/upgrade/successor.rs
@@ -10,7 +10,7 @@
 use crate::routing::handover::{CoServing, TransferredClient};
 use crate::transport::io_journal::IoJournalWriter;
 use asterlatch::time::Timestamp;
-use asterlatch_handover::co_serving::CoServingState;
+use asterlatch_handover::co_serving::{CoServingMessage, CoServingState};
 use asterlatch_handover::codec::{monotonic_micros, send, FrameReader, Received};
 use asterlatch_handover::io_journal::StatementVerdicts;
 use asterlatch_handover::message::HandoverMessage;
@@ -90,6 +90,8 @@
     /// `None` once the journal has ended.
     journal: Option<IoJournalWriter>,
     co_serving: CoServingState,
+    /// The predecessor tells facts and reads them.
+    predecessor_knows_facts: bool,
     started_at: Timestamp,
 }
 
@@ -122,6 +124,7 @@
             journal_descriptors: None,
             journal: None,
             co_serving: CoServingState::default(),
+            predecessor_knows_facts: false,
             started_at: monotonic_now(),
         }))
     }
@@ -137,7 +140,10 @@
                 match action {
                     Action::Send(message) => self.send(&message),
                     Action::LoadState(bytes) => match self.load_state(&bytes, config) {
-                        Ok(resumed) => return Ok(resumed),
+                        Ok(resumed) => {
+                            self.predecessor_knows_facts = resumed.learned.facts.is_some();
+                            return Ok(resumed);
+                        }
                         Err(error) => {
                             let reason = error.to_string();
                             actions.extend(self.on_event(successor::Event::LoadFailed { reason }));
@@ -189,7 +195,10 @@
             for action in std::mem::take(&mut actions) {
                 match action {
                     Action::Send(message) => self.send(&message),
-                    Action::StartServing => is_committed = true,
+                    Action::StartServing => {
+                        is_committed = true;
+                        self.accept_facts();
+                    }
                     Action::Abort(reason) => return Err(reason.into()),
                     Action::LoadState(_) | Action::StartAccepting | Action::Report(_) => {}
                 }
@@ -201,6 +210,15 @@
         }
     }
 
+    /// Has the predecessor tell what it learns. Sent before the commit is acknowledged, and so before any client
+    /// moves.
+    fn accept_facts(&self) {
+        if self.predecessor_knows_facts {
+            let messages = vec![CoServingMessage::AcceptsFacts];
+            self.send(&HandoverMessage::CoServing(messages));
+        }
+    }
+
     /// Reads the predecessor's messages on a separate thread from now on. The thread wakes the event loop
     /// through `queue`, and ends when the predecessor closes its end of the socket.
     ///
--- a/crates/driver/src/routing/event_loop/in_doubt.rs
+++ b/crates/driver/src/routing/event_loop/in_doubt.rs
@@ -22,7 +22,7 @@
 }
 
 impl<L: Logger> EventLoop<L> {
-    /// Checks whether another driver may have dispatched a statement. Returns the statement with its prior
+    /// Checks whether this driver or another one may have dispatched a statement. Returns the statement with its prior
     /// attempt, if any; `None` if it is deferred until other drivers reply.
     pub(super) fn check_prior_attempts(
         &mut self,
@@ -34,20 +34,32 @@
         if !self.workloads.get(statement.workload).needs_deduplication {
             return Some(statement);
         }
+        if self.dispatch_records.is_in_flight(client_id) {
+            // Where executions can't be cancelled, a second one must not run beside the first.
+            self.metrics.ids_repeated += 1;
+            return with_prior_attempt(statement, UNKNOWN_ATTEMPT);
+        }
         let Some(gossip) = &mut self.gossip else {
+            if let Some(dispatch) = self.dispatch_records.prior_dispatch(now, client_id) {
+                let prior_attempt = self.prior_attempt(dispatch.age, Some(&dispatch.member));
+                self.metrics.ids_repeated += 1;
+                return with_prior_attempt(statement, prior_attempt);
+            }
             return if self.is_gossip_deferred && statement.is_client_retry {
                 with_prior_attempt(statement, UNKNOWN_ATTEMPT)
             } else {
                 Some(statement)
             };
         };
-        match gossip.check_statement(now, client_id, statement, deadline) {
+        let dispatch_log = self.dispatch_records.log_mut();
+        match gossip.check_statement(now, dispatch_log, client_id, statement, deadline) {
             StatementCheck::New => Some(statement),
             StatementCheck::Ceded => {
                 self.metrics.statements_given_away += 1;
                 with_prior_attempt(statement, UNKNOWN_ATTEMPT)
             }
             StatementCheck::Dispatched { age, member } => {
+                self.metrics.ids_repeated += 1;
                 let prior_attempt = self.prior_attempt(age, Some(&member));
                 with_prior_attempt(statement, prior_attempt)
             }
@@ -111,7 +123,13 @@
     pub(super) fn on_inquiry(&mut self, now: Timestamp, from: usize, inquiry: InquiryId) {
         let Some(gossip) = &mut self.gossip else { return };
         let client_id = inquiry.id;
-        let is_ceded = gossip.reply_to_inquiry(now, from, inquiry, self.handover.is_co_serving());
+        let is_ceded = gossip.reply_to_inquiry(
+            now,
+            from,
+            inquiry,
+            self.dispatch_records.log_mut(),
+            self.handover.is_co_serving(),
+        );
         let open = self.statements.find(client_id);
         let Some(statement) = open.filter(|_| is_ceded) else {
             return;
--- a/crates/driver/src/routing/event_loop/mod.rs
+++ b/crates/driver/src/routing/event_loop/mod.rs
@@ -20,6 +20,7 @@
 use crate::routing::acceptor::Acceptor;
 use crate::routing::clients::Clients;
 use crate::routing::discovery_requests::{DialDiscovery, DiscoveryRequests};
+use crate::routing::dispatch_records::DispatchRecords;
 use crate::routing::events::{ControlEvent, Event};
 use crate::routing::gossip::Gossip;
 use crate::routing::handover::{AdoptClient, AdoptMemberConnection, Handover};
@@ -112,6 +113,9 @@
     is_draining: bool,
     handover: Handover,
     journal: Option<IoJournalWriter>,
+    /// The predecessor, which reads the journal, understands facts in it.
+    journals_facts: bool,
+    dispatch_records: DispatchRecords,
     gossip: Option<Gossip>,
     /// The predecessor still gossips under this driver's name, so peers cannot be asked yet.
     is_gossip_deferred: bool,
@@ -167,6 +171,8 @@
             is_draining: false,
             handover: Handover::new(connectors.adopt_client, connectors.adopt_member_connection),
             journal: options.journal,
+            journals_facts: false,
+            dispatch_records: DispatchRecords::new(now),
             gossip: None,
             is_gossip_deferred: false,
             records_sessions: !settings.carries_session_position,
--- a/crates/driver/src/routing/event_loop/peer_process.rs
+++ b/crates/driver/src/routing/event_loop/peer_process.rs
@@ -10,6 +10,8 @@
 use asterlatch::policy::RoutingPolicy;
 use asterlatch::time::Timestamp;
 use asterlatch_handover::co_serving::CoServingMessage;
+use asterlatch_handover::io_journal::JournalRecord;
+use asterlatch_handover::learned_fact::LearnedFact;
 use std::collections::BTreeMap;
 use std::net::{TcpListener, TcpStream};
 
@@ -27,6 +29,8 @@
     pub policy: RoutingPolicy,
     /// The directory of members.
     pub members: MemberDirectory,
+    /// What the other process has learned; `None` if it is of an earlier build, which tells none and reads none.
+    pub facts: Option<Vec<LearnedFact>>,
 }
 
 impl<L: Logger> EventLoop<L> {
@@ -42,6 +46,10 @@
     pub fn resume(&mut self, now: Timestamp, settings: &Settings, state: ResumedState) {
         self.policy = RoutingPolicy::resume(state.policy, settings, false, now);
         self.members = state.members;
+        self.journals_facts = state.facts.is_some();
+        for fact in state.facts.unwrap_or_default() {
+            self.dispatch_records.learn(now, &fact);
+        }
         self.policy_wakes_at = Some(now);
         self.discovery_requests.resume(now);
     }
@@ -49,9 +57,9 @@
     /// Sets whether a peer process is serving.
     pub fn set_co_serving(&mut self, now: Timestamp, co_serving: CoServing) {
         let was_co_serving = self.handover.set_co_serving(co_serving);
-        if let Some(gossip) = self.gossip.as_mut().filter(|_| was_co_serving) {
-            // Dispatches of the peer process are not recorded here.
-            gossip.mark_dispatch_log_incomplete(now);
+        if was_co_serving {
+            // Dispatches of an earlier build's process are not recorded here.
+            self.dispatch_records.log_mut().mark_incomplete(now);
         }
         self.clients.set_co_serving(self.handover.is_co_serving());
         let yields = co_serving == CoServing::WithSuccessor;
@@ -79,7 +87,11 @@
                 self.on_peer_in_flight(now, member, *count as usize)
             }
             CoServingMessage::Draining { member, started_ms } => self.on_peer_drain(now, member, *started_ms),
-            CoServingMessage::Acknowledged => None,
+            CoServingMessage::Acknowledged | CoServingMessage::AcceptsFacts => None,
+            CoServingMessage::Learned(fact) => {
+                self.learn_fact(now, fact);
+                None
+            }
         };
         if let Some(actions) = actions {
             self.execute_actions(now, actions);
@@ -101,6 +113,32 @@
         Some(self.policy.on_member_update(now, member, update))
     }
 
+    /// Applies a fact that the peer process has learned.
+    pub fn learn_fact(&mut self, now: Timestamp, fact: &LearnedFact) {
+        self.metrics.facts_from_peer_process += 1;
+        self.dispatch_records.learn(now, fact);
+    }
+
+    /// Facts for a peer process that is about to start. Those that are learned from now on are kept for
+    /// [`EventLoop::take_learned_facts`].
+    pub fn begin_telling_facts(&mut self) -> Vec<LearnedFact> {
+        self.handover.begin_telling_facts();
+        self.dispatch_records.to_facts()
+    }
+
+    /// Takes the facts learned since the last call, for the peer process.
+    pub fn take_learned_facts(&mut self) -> Vec<LearnedFact> {
+        self.handover.take_learned_facts()
+    }
+
+    /// Tells the peer process a fact, if there is one: by the journal at once, otherwise with the next messages.
+    pub(super) fn tell_peer_process(&mut self, fact: LearnedFact) {
+        match &self.journal {
+            Some(journal) if self.journals_facts => journal.append(&JournalRecord::Learned(fact), None),
+            _ => self.handover.add_learned_fact(fact),
+        }
+    }
+
     /// Duplicates the listening socket for a peer process; `None` if there is none or `dup` fails.
     pub fn listener_descriptor(&self) -> Option<TcpListener> {
         self.acceptor.descriptor()
--- a/crates/driver/src/routing/gossip/mod.rs
+++ b/crates/driver/src/routing/gossip/mod.rs
@@ -91,12 +91,8 @@
 pub struct DispatchedExecution {
     /// Identifies the execution.
     pub attempt: AttemptId,
-    /// Hash of the id that its client gave the statement.
-    pub client_id: u64,
     /// Key of its session; zero if it has none.
     pub session: u64,
-    /// Executing the statement twice may change the result.
-    pub needs_deduplication: bool,
     /// The statement writes.
     pub is_write: bool,
 }
@@ -126,9 +122,19 @@
     pub coordination: bool,
 }
 
+/// For how long and how many statements are recorded for retries at other drivers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DispatchRecordBounds {
+    /// Time after a statement's first dispatch.
+    pub retention: TimeSpan,
+    /// Maximum number of statements.
+    pub max_statements: usize,
+}
+
 /// State of the event loop's part in gossip.
 pub struct Gossip {
     send: SendCommand,
+    dispatch_record_bounds: DispatchRecordBounds,
     tick: TimeSpan,
     local_driver: DriverIdentity,
     peer_names: Vec<String>,
@@ -160,6 +166,10 @@
         let fleet_size = peers.names.len() as u32 + 1;
         Gossip {
             send,
+            dispatch_record_bounds: DispatchRecordBounds {
+                retention: settings.retry_window,
+                max_statements: settings.max_recorded_statements,
+            },
             tick: settings.tick,
             slow_start: SlowStart::new(now, &local_driver, &settings),
             coordination: Coordination::new(now, &local_driver, settings.tick, fleet_size),
@@ -168,13 +178,18 @@
             peer_names: peers.names,
             present_peers: BTreeSet::new(),
             status_batch: StatusBatch::new(settings.tick),
-            prior_attempts: PriorAttempts::new(now, &settings, peers.inquiry_peers),
+            prior_attempts: PriorAttempts::new(&settings, peers.inquiry_peers),
             in_flight: BTreeMap::new(),
             list_version: 0,
             announced_drains: BTreeSet::new(),
         }
     }
 
+    /// Bounds of the records of dispatched statements.
+    pub fn dispatch_record_bounds(&self) -> DispatchRecordBounds {
+        self.dispatch_record_bounds
+    }
+
     /// Time of the next due work.
     pub fn next_at(&self) -> Option<Timestamp> {
         let times = [
@@ -208,11 +223,6 @@
         (self.send)(NodeInput::Leave);
     }
 
-    /// Marks the dispatch log as incomplete before `now`, because a peer process has dispatched statements.
-    pub fn mark_dispatch_log_incomplete(&mut self, now: Timestamp) {
-        self.prior_attempts.mark_dispatch_log_incomplete(now);
-    }
-
     /// Name of a peer; empty if its index is unknown.
     pub fn peer_name(&self, peer: usize) -> &str {
         self.peer_names.get(peer).map_or("", String::as_str)
@@ -252,12 +262,7 @@
         if let Some(member) = member {
             self.slow_start.on_dispatched(now, member, expected_work);
         }
-        if execution.needs_deduplication {
-            let member = member.unwrap_or_default();
-            self.prior_attempts
-                .on_dispatched(now, execution.client_id, member);
-        }
-        if execution.needs_deduplication || execution.is_write {
+        if execution.is_write {
             self.in_flight.insert(execution.attempt, execution);
         }
     }
@@ -282,9 +287,6 @@
             return;
         };
         let outcome = end.outcome;
-        if execution.needs_deduplication && asterlatch::policy::definitely_not_executed(outcome) {
-            self.prior_attempts.on_not_executed(execution.client_id);
-        }
         let is_written = execution.is_write && outcome == ExecutionOutcome::Completed;
         if let Some(position) = end.status.position.filter(|_| is_written && records_sessions) {
             self.status_batch.add_session(now, execution.session, position);
--- a/crates/driver/src/routing/gossip/prior_attempts.rs
+++ b/crates/driver/src/routing/gossip/prior_attempts.rs
@@ -1,4 +1,4 @@
-//! Statements that must not be executed twice: this driver's dispatches, and inquiries to other drivers.
+//! Statements that must not be executed twice: inquiries to and from other drivers.
 
 use super::{GossipSettings, SendCommand};
 use asterlatch::interface::Statement;
@@ -55,9 +55,8 @@
     resolved: ResolvedStatement,
 }
 
-/// Dispatch log of, and inquiries about, statements that must not be executed twice.
+/// Inquiries about statements that must not be executed twice.
 pub struct PriorAttempts {
-    dispatch_log: DispatchLog,
     inquiries: Inquiries,
     deferred: BTreeMap<u64, DeferredStatement>,
     inquiry_peers: Vec<usize>,
@@ -65,14 +64,8 @@
 }
 
 impl PriorAttempts {
-    pub(super) fn new(now: Timestamp, settings: &GossipSettings, inquiry_peers: Vec<usize>) -> PriorAttempts {
+    pub(super) fn new(settings: &GossipSettings, inquiry_peers: Vec<usize>) -> PriorAttempts {
         PriorAttempts {
-            dispatch_log: DispatchLog::new(
-                now,
-                settings.retry_window,
-                settings.max_recorded_statements,
-                true,
-            ),
             inquiries: Inquiries::default(),
             deferred: BTreeMap::new(),
             inquiry_peers,
@@ -93,18 +86,6 @@
             })
             .collect()
     }
-
-    pub(super) fn mark_dispatch_log_incomplete(&mut self, now: Timestamp) {
-        self.dispatch_log.mark_incomplete(now);
-    }
-
-    pub(super) fn on_dispatched(&mut self, now: Timestamp, client_id: u64, member: &str) {
-        self.dispatch_log.on_dispatch(now, client_id, member);
-    }
-
-    pub(super) fn on_not_executed(&mut self, client_id: u64) {
-        self.dispatch_log.on_not_executed(client_id);
-    }
 }
 
 impl super::Gossip {
@@ -113,15 +94,15 @@
     pub fn check_statement(
         &mut self,
         now: Timestamp,
+        dispatch_log: &mut DispatchLog,
         client_id: u64,
         statement: Statement,
         deadline: Timestamp,
     ) -> StatementCheck {
-        let prior_attempts = &mut self.prior_attempts;
-        if prior_attempts.dispatch_log.is_ceded(client_id) {
+        if dispatch_log.is_ceded(client_id) {
             return StatementCheck::Ceded;
         }
-        match prior_attempts.dispatch_log.status(now, client_id) {
+        match dispatch_log.status(now, client_id) {
             // Even if it is not marked as a retry: the first attempt may arrive after its retry.
             DispatchStatus::Dispatched { age, member } => return StatementCheck::Dispatched { age, member },
             _ if !statement.is_client_retry => return StatementCheck::New,
@@ -129,6 +110,7 @@
             DispatchStatus::NotExecuted => {}
         }
         let resolved = ResolvedStatement { statement, deadline };
+        let prior_attempts = &mut self.prior_attempts;
         prior_attempts.start_inquiry(now, client_id, resolved, &mut self.send)
     }
 
@@ -161,17 +143,18 @@
         now: Timestamp,
         from: usize,
         inquiry: InquiryId,
+        dispatch_log: &mut DispatchLog,
         is_co_serving: bool,
     ) -> bool {
         let prior_attempts = &mut self.prior_attempts;
         let status = if is_co_serving {
             DispatchStatus::Unknown
         } else {
-            prior_attempts.dispatch_log.status(now, inquiry.id)
+            dispatch_log.status(now, inquiry.id)
         };
         let is_ceded = status == DispatchStatus::NotExecuted;
         if is_ceded {
-            prior_attempts.dispatch_log.cede(now, inquiry.id);
+            dispatch_log.cede(now, inquiry.id);
             prior_attempts.inquiries.cancel(inquiry.id);
             prior_attempts.deferred.remove(&inquiry.id);
         }
--- a/crates/driver/src/routing/handover.rs
+++ b/crates/driver/src/routing/handover.rs
@@ -3,9 +3,10 @@
 use crate::protocol::client_events::{ClientCommand, ClientTransferState};
 use crate::protocol::member_connection::MemberCommand;
 use crate::transport::connection::ConnectionHandle;
-use asterlatch_handover::io_journal::{StatementVerdict, StatementVerdicts};
+use asterlatch_handover::io_journal::{StatementVerdict, StatementVerdicts, MAX_FACTS};
+use asterlatch_handover::learned_fact::LearnedFact;
 use asterlatch_handover::message::ClientState;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::TcpStream;
 
@@ -100,6 +101,8 @@
     last_adopted_client: u32,
     co_serving: CoServing,
     drained_members: Vec<DrainedMember>,
+    /// What this process has learned and not told its successor; `None` while there is none.
+    learned_facts: Option<VecDeque<LearnedFact>>,
     clients: Vec<TransferredClient>,
     connections: Vec<TransferredConnection>,
     /// Verdicts on statements of clients reclaimed from a crashed process.
@@ -115,6 +118,7 @@
             last_adopted_client: 0,
             co_serving: CoServing::Alone,
             drained_members: Vec::new(),
+            learned_facts: None,
             clients: Vec::new(),
             connections: Vec::new(),
             verdicts: BTreeMap::new(),
@@ -131,6 +135,9 @@
         let was_co_serving = self.is_co_serving();
         self.co_serving = co_serving;
         self.drained_members = Vec::new();
+        if !self.is_co_serving() {
+            self.learned_facts = None;
+        }
         was_co_serving
     }
 
@@ -149,6 +156,28 @@
         std::mem::take(&mut self.drained_members)
     }
 
+    /// Starts to record facts for a successor.
+    pub fn begin_telling_facts(&mut self) {
+        self.learned_facts = Some(VecDeque::new());
+    }
+
+    /// Records a fact for the successor, if one is about to start or serves.
+    pub fn add_learned_fact(&mut self, fact: LearnedFact) {
+        let Some(facts) = &mut self.learned_facts else {
+            return;
+        };
+        facts.push_back(fact);
+        if facts.len() > MAX_FACTS {
+            facts.pop_front();
+        }
+    }
+
+    /// Takes the facts recorded since the last call.
+    pub fn take_learned_facts(&mut self) -> Vec<LearnedFact> {
+        let facts = self.learned_facts.as_mut().map(std::mem::take);
+        facts.unwrap_or_default().into()
+    }
+
     /// Records a client whose connection is to be transferred.
     pub fn add_client(&mut self, client: TransferredClient) {
         self.clients.push(client);
--- a/crates/driver/src/routing/metrics.rs
+++ b/crates/driver/src/routing/metrics.rs
@@ -93,6 +93,10 @@
     clients_cut,
     /// Draining members learned from the peer process.
     drains_from_peer_process,
+    /// Facts learned from the peer process.
+    facts_from_peer_process,
+    /// Statements whose id was sent to a member before and may have been executed.
+    ids_repeated,
     /// Executions in flight of the peer process (gauge).
     in_flight_at_peer_process,
     /// Records received from other drivers.
--- a/crates/driver/src/routing/mod.rs
+++ b/crates/driver/src/routing/mod.rs
@@ -6,6 +6,7 @@
 pub mod acceptor;
 pub mod clients;
 pub mod discovery_requests;
+pub mod dispatch_records;
 pub mod event_loop;
 pub mod events;
 pub mod execution_outcomes;
--- a/crates/driver/tests/routing/statements.rs
+++ b/crates/driver/tests/routing/statements.rs
@@ -416,9 +416,48 @@
     );
     harness.reply(connection, rows("v"), Some(true));
     assert_eq!(harness.received(1), "rows(v)");
-    harness.send_statement_with_id(2, 7, WRITE);
+    harness.send_statement_with_id(2, 7, READ);
     assert!(
         harness.next_query().is_some(),
         "the id is free once the first statement has its answer"
     );
 }
+
+/// Guards against a write that is executed twice: its id came again after its client had left, while a member still
+/// executed it or had done so.
+#[test]
+fn id_that_may_have_been_executed_is_not_sent_again() {
+    // How the first statement ends, and what a second one with its id gets: an answer, or a query.
+    let ends: [(&str, bool); 4] = [
+        ("its client leaves", false),
+        ("its client closes its side", false),
+        ("it is answered", false),
+        ("the member turns it away", true),
+    ];
+    for (end, is_sent_again) in ends {
+        let mut harness = harness_with_client();
+        harness.connect_client(2);
+        harness.send_statement_with_id(1, 7, WRITE);
+        let (connection, _) = harness.next_query().expect("the statement is sent immediately");
+        let now = harness.now;
+        let disconnect = |harness: &mut Harness, event| {
+            let batch = vec![Event::Client(event)];
+            harness.event_loop.on_events(batch, || now);
+        };
+        match end {
+            "its client leaves" => disconnect(&mut harness, ClientEvent::Closed { client: 1 }),
+            "its client closes its side" => disconnect(&mut harness, ClientEvent::InputEnded { client: 1 }),
+            "it is answered" => harness.reply(connection, rows("v"), Some(true)),
+            _ => {
+                harness.reply(connection, Reply::Error("53300".to_owned()), Some(true));
+                disconnect(&mut harness, ClientEvent::Closed { client: 1 });
+            }
+        }
+        harness.advance(5);
+        harness.send_statement_with_id(2, 7, WRITE);
+        harness.advance(400);
+        assert_eq!(harness.next_query().is_some(), is_sent_again, "{end}");
+        let expected_answer = if is_sent_again { "" } else { "40003" };
+        assert_eq!(harness.received(2), expected_answer, "{end}");
+    }
+}
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -516,6 +516,69 @@
     }
 }
 
+/// Sends a write, waits until the member has it, and closes the connection.
+fn abandon_write(harness: &UpgradeHarness, member: &Member, id: u32) {
+    let mut client = harness.driver.process.connect();
+    send_statement_with_id(&mut client, "post", id);
+    assert!(member.next_event().contains(&format!("id={id:x},")));
+    drop(client);
+    assert_eq!(member.next_event(), "disconnected");
+}
+
+/// Guards against a write that is executed twice: its id came again at the other process of an upgrade after its
+/// client had left.
+#[test]
+fn handover_id_sent_by_either_process_is_not_sent_again() {
+    let settings = HANDOVER_SETTINGS.replace("probation = 200ms", "probation = 1h");
+    let member = start_member(MemberBehavior::AnswerOnRelease);
+    let mut harness = UpgradeHarness::new("ids", &member, &settings);
+    abandon_write(&harness, &member, 1);
+    // Of these, as many are sent as the member takes at once; the rest wait in the predecessor.
+    let mut waiting_client = harness.driver.process.connect();
+    for id in 100..116 {
+        send_statement_with_id(&mut waiting_client, "post", id);
+    }
+    let mut last_sent = member.next_event();
+    let (pid, _upgrade_request) = harness.begin_upgrade();
+    harness.pid = Some(pid);
+    harness.await_client_moves(pid);
+    last_sent = member.events.try_iter().last().unwrap_or(last_sent);
+    assert!(
+        !last_sent.contains("id=73,"),
+        "a statement waits in the predecessor"
+    );
+    // The predecessor sends the next one on probation, after the successor has its state.
+    member.release.send(()).expect("release a statement");
+    let sent_on_probation = member.next_event();
+    let sent_id = sent_on_probation
+        .split("id=")
+        .nth(1)
+        .and_then(|text| text.split(',').next());
+    let sent_id = u32::from_str_radix(sent_id.expect("the statement has an id"), 16).expect("parse the id");
+    drop(waiting_client);
+    harness.wait_for_counter(harness.driver.process.child.id(), "open_statements=0 ");
+    for id in [1, sent_id] {
+        assert_eq!(
+            harness.execute("post", id),
+            "E40003 Z",
+            "id {id} at the successor"
+        );
+    }
+    while member.events.try_recv().is_ok() {}
+    abandon_write(&harness, &member, 200);
+    harness.signal(pid, "KILL");
+    harness
+        .driver
+        .wait_for_log("upgrade: failed, this process continues to serve: the new process ended");
+    for id in [1, sent_id, 200] {
+        assert_eq!(
+            harness.execute("post", id),
+            "E40003 Z",
+            "id {id} at the predecessor"
+        );
+    }
+}
+
 /// If the successor dies on probation, the predecessor reclaims its clients, and answers its open statements
 /// with errors that match what may have been executed.
 #[test]
--- a/crates/gossip/src/in_doubt/dispatch_log.rs
+++ b/crates/gossip/src/in_doubt/dispatch_log.rs
@@ -29,8 +29,8 @@
     /// Time after the first dispatch in which a client may retry a statement.
     window: TimeSpan,
     capacity: usize,
-    /// Until then, another process of this driver may have dispatched any id that isn't in the log.
-    incomplete_until: Timestamp,
+    /// Another process of this driver may have dispatched any id before then that isn't in the log.
+    incomplete_before: Option<Timestamp>,
     dispatched: BTreeMap<u64, Dispatch>,
     /// Ids that a peer has inquired about and may dispatch.
     ceded: BTreeMap<u64, Position>,
@@ -45,14 +45,10 @@
     /// Creates a log of at most `capacity` entries, which expire after `window`. `has_predecessor` tells
     /// whether an earlier process of this driver may have dispatched statements.
     pub fn new(now: Timestamp, window: TimeSpan, capacity: usize, has_predecessor: bool) -> DispatchLog {
-        let incomplete_until = match has_predecessor {
-            true => now + window,
-            false => now,
-        };
         DispatchLog {
             window,
             capacity: capacity.max(1),
-            incomplete_until,
+            incomplete_before: has_predecessor.then_some(now),
             dispatched: BTreeMap::new(),
             ceded: BTreeMap::new(),
             order: VecDeque::new(),
@@ -61,9 +57,34 @@
         }
     }
 
+    /// Changes the window and the capacity. Entries that have expired or were dropped don't come back.
+    pub fn set_bounds(&mut self, window: TimeSpan, capacity: usize) {
+        self.window = window;
+        self.capacity = capacity.max(1);
+        self.enforce_capacity();
+    }
+
+    /// Records a dispatch that another process of this driver made at `dispatched_at`.
+    pub fn on_dispatch_elsewhere(&mut self, now: Timestamp, id: u64, member: &str, dispatched_at: Timestamp) {
+        self.on_dispatch(now, id, member);
+        if let Some(dispatch) = self.dispatched.get_mut(&id) {
+            dispatch.dispatched_at = dispatch.dispatched_at.min(dispatched_at);
+        }
+    }
+
+    /// The statements that may have been executed, with the member and the time of the first dispatch, oldest
+    /// first.
+    pub fn dispatches(&self) -> impl Iterator<Item = (u64, &str, Timestamp)> {
+        self.order.iter().filter_map(|entry| {
+            let dispatch = self.dispatched.get(&entry.id)?;
+            let is_latest = dispatch.position == entry.position;
+            is_latest.then_some((entry.id, dispatch.member.as_str(), dispatch.dispatched_at))
+        })
+    }
+
     /// Marks the log as incomplete: another process of this driver may have dispatched statements until now.
     pub fn mark_incomplete(&mut self, now: Timestamp) {
-        self.incomplete_until = now + self.window;
+        self.incomplete_before = Some(now);
     }
 
     /// The number of entries, including outdated ones.
@@ -126,10 +147,9 @@
                 member: dispatch.member.clone(),
             };
         }
-        let has_dropped = self
-            .last_dropped_added_at
-            .is_some_and(|at| now - at < self.window);
-        if now < self.incomplete_until || has_dropped {
+        let is_within_window = |at: Timestamp| now - at < self.window;
+        let has_dropped = self.last_dropped_added_at.is_some_and(is_within_window);
+        if self.incomplete_before.is_some_and(is_within_window) || has_dropped {
             return DispatchStatus::Unknown;
         }
         DispatchStatus::NotExecuted
--- a/crates/handover/src/co_serving.rs
+++ b/crates/handover/src/co_serving.rs
@@ -7,6 +7,7 @@
 //! New counts are sent only once the peer has acknowledged the last ones. This bounds the messages queued for
 //! a peer that hangs, and skips outdated counts when the peer is slow.
 
+use crate::learned_fact::LearnedFact;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -32,6 +33,11 @@
     },
     /// The sender has applied the last counts.
     Acknowledged,
+    /// Successor: it understands the variants from here on. Earlier builds don't, so it is sent only to a
+    /// predecessor whose state has facts.
+    AcceptsFacts,
+    /// The sender has learned this.
+    Learned(LearnedFact),
 }
 
 /// Counts and drains that one process has sent to its peer and received from it.
@@ -45,6 +51,8 @@
     awaits_acknowledgement: bool,
     /// The peer's executions in flight, without members that have none.
     peer_counts: InFlightCounts,
+    /// Whether the peer understands [`CoServingMessage::Learned`].
+    peer_accepts_facts: bool,
 }
 
 impl CoServingState {
@@ -90,6 +98,8 @@
                     self.known_drains.insert(member.clone(), *started_ms);
                 }
                 CoServingMessage::Acknowledged => self.awaits_acknowledgement = false,
+                CoServingMessage::AcceptsFacts => self.peer_accepts_facts = true,
+                CoServingMessage::Learned(_) => {}
                 CoServingMessage::InFlight { member, count } => {
                     self.peer_counts.insert(member.clone(), *count);
                     has_counts = true;
@@ -100,6 +110,11 @@
         has_counts.then_some(CoServingMessage::Acknowledged)
     }
 
+    /// Whether the peer understands [`CoServingMessage::Learned`].
+    pub fn peer_accepts_facts(&self) -> bool {
+        self.peer_accepts_facts
+    }
+
     /// Number of the peer's executions in flight at all members.
     pub fn peer_in_flight(&self) -> u64 {
         self.peer_counts.values().map(|count| u64::from(*count)).sum()
--- a/crates/handover/src/io_journal/mod.rs
+++ b/crates/handover/src/io_journal/mod.rs
@@ -13,10 +13,11 @@
 mod verdict;
 
 pub use client_replay::{ClientRecovery, SocketByteCounts};
-pub use replay::{ConnectionKey, JournalReplay, RecoveredClient, ReplayError, ReplayUsage};
+pub use replay::{ConnectionKey, JournalReplay, RecoveredClient, ReplayError, ReplayUsage, MAX_FACTS};
 pub use verdict::{StatementVerdict, StatementVerdicts};
 
 use crate::codec::Framed;
+use crate::learned_fact::LearnedFact;
 use serde::{Deserialize, Serialize};
 
 /// A record of the journal. `client` is the successor's number of a client. The encoding is positional.
@@ -72,6 +73,8 @@
         /// The client.
         client: u32,
     },
+    /// The successor has learned this. Written only for a predecessor whose state has facts.
+    Learned(LearnedFact),
 }
 
 impl Framed for JournalRecord {
--- a/crates/handover/src/io_journal/replay.rs
+++ b/crates/handover/src/io_journal/replay.rs
@@ -4,8 +4,9 @@
     transfer_memory, AnnouncedWrite, ClientRecovery, ClientReplay, SocketByteCounts, CLIENT_OVERHEAD_BYTES,
 };
 use super::JournalRecord;
+use crate::learned_fact::LearnedFact;
 use crate::message::ClientState;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use thiserror::Error;
 
 /// Why the replay of a journal can't continue. Its clients can't be recovered from then on.
@@ -19,6 +20,9 @@
     Inconsistent,
 }
 
+/// Maximum number of facts that a replay keeps.
+pub const MAX_FACTS: usize = 16_384;
+
 /// Identifies the connection of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ConnectionKey {
@@ -52,6 +56,8 @@
     /// Clients in transfer to the successor, by transfer id.
     transfers: BTreeMap<u64, ClientState>,
     clients: BTreeMap<u32, ClientReplay>,
+    /// The latest facts, in order.
+    facts: VecDeque<LearnedFact>,
     /// Memory counted for all clients, and its limit, in bytes.
     memory_used: usize,
     memory_limit: usize,
@@ -100,6 +106,7 @@
             JournalRecord::Accepted { client } => self.on_accepted(client),
             JournalRecord::Adopted { client, transfer_id } => self.on_adopted(client, transfer_id)?,
             JournalRecord::Closed { client } => self.on_closed(client),
+            JournalRecord::Learned(fact) => self.on_learned(fact),
             JournalRecord::Read {
                 client,
                 written_to,
@@ -130,6 +137,18 @@
         self.check_memory()
     }
 
+    fn on_learned(&mut self, fact: LearnedFact) {
+        self.facts.push_back(fact);
+        if self.facts.len() > MAX_FACTS {
+            self.facts.pop_front();
+        }
+    }
+
+    /// Takes the facts that the successor has learned, in order. Beyond [`MAX_FACTS`] the oldest are missing.
+    pub fn take_facts(&mut self) -> VecDeque<LearnedFact> {
+        std::mem::take(&mut self.facts)
+    }
+
     fn on_accepted(&mut self, client: u32) {
         self.memory_used += CLIENT_OVERHEAD_BYTES;
         self.clients.insert(client, ClientReplay::default());
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod co_serving;
 pub mod codec;
 pub mod io_journal;
+pub mod learned_fact;
 pub mod message;
 pub mod predecessor;
 pub mod successor;
--- a/crates/handover/tests/fixtures.rs
+++ b/crates/handover/tests/fixtures.rs
@@ -4,6 +4,7 @@
 use asterlatch_handover::co_serving::CoServingMessage;
 use asterlatch_handover::codec::Framed;
 use asterlatch_handover::io_journal::JournalRecord;
+use asterlatch_handover::learned_fact::LearnedFact;
 use asterlatch_handover::message::{ClientState, HandoverMessage};
 use std::fmt::Debug;
 use std::fs;
@@ -85,6 +86,29 @@
     ]
 }
 
+fn facts() -> Vec<LearnedFact> {
+    vec![
+        LearnedFact::Dispatched {
+            client_id: 1 << 40,
+            member: "m-1".to_owned(),
+            at: 1_010_000_000,
+        },
+        LearnedFact::NotExecuted { client_id: 7 },
+    ]
+}
+
+/// Messages with facts, which builds before them don't understand.
+fn messages_with_facts() -> Vec<HandoverMessage> {
+    let learned = facts().into_iter().map(CoServingMessage::Learned);
+    let messages = std::iter::once(CoServingMessage::AcceptsFacts).chain(learned);
+    vec![HandoverMessage::CoServing(messages.collect())]
+}
+
+/// Records with facts, which builds before them don't understand.
+fn records_with_facts() -> Vec<JournalRecord> {
+    facts().into_iter().map(JournalRecord::Learned).collect()
+}
+
 fn encode_all<T: Framed>(messages: &[T]) -> Vec<u8> {
     let frames = messages
         .iter()
@@ -115,11 +139,13 @@
 #[test]
 fn decode_messages_of_earlier_build_yields_same_values() {
     check_fixture("messages.bin", &messages());
+    check_fixture("messages_with_facts.bin", &messages_with_facts());
 }
 
 #[test]
 fn decode_records_of_earlier_build_yields_same_values() {
     check_fixture("records.bin", &records());
+    check_fixture("records_with_facts.bin", &records_with_facts());
 }
 
 #[test]
@@ -127,4 +153,8 @@
 fn write_fixtures() {
     fs::write(fixture_path("messages.bin"), encode_all(&messages())).expect("write messages.bin");
     fs::write(fixture_path("records.bin"), encode_all(&records())).expect("write records.bin");
+    let messages = encode_all(&messages_with_facts());
+    fs::write(fixture_path("messages_with_facts.bin"), messages).expect("write messages_with_facts.bin");
+    let records = encode_all(&records_with_facts());
+    fs::write(fixture_path("records_with_facts.bin"), records).expect("write records_with_facts.bin");
 }
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -22,10 +22,9 @@
         let elapsed = self.elapsed_slo_time(statement);
         let slack = self.settings.tick + self.settings.tick;
         let workload = &self.settings.workloads[statement.workload];
-        let indeterminate = statement.prior_attempt.map(|prior| IndeterminateAttempt {
-            dispatched_at: self.now - prior.age,
-            member_index: self.members.index_of(prior.member).unwrap_or(0),
-        });
+        let indeterminate = statement
+            .prior_attempt
+            .map(|prior| self.indeterminate_attempt(&prior, group));
         StatementState {
             workload: statement.workload,
             group,
@@ -44,6 +43,22 @@
         }
     }
 
+    /// State of an earlier attempt. Where members of its own group alone recognise the statement, an attempt in
+    /// another group counts as made long ago.
+    fn indeterminate_attempt(&self, prior: &PriorAttempt, group: usize) -> IndeterminateAttempt {
+        let member_index = self.members.index_of(prior.member);
+        let is_same_group = member_index.is_some_and(|index| self.members[index].group == group);
+        let dispatched_at = if is_same_group {
+            self.now - prior.age
+        } else {
+            Timestamp(0)
+        };
+        IndeterminateAttempt {
+            dispatched_at,
+            member_index: member_index.unwrap_or(0),
+        }
+    }
+
     fn answer_deadline(&self, time_left: TimeSpan) -> Timestamp {
         let deadline = self.now + time_left;
         self.last_answer_at.map_or(deadline, |last| deadline.min(last))
