Tests: ids that come again are looked for at the member; statements get ids of their own

handover_id_sent_by_either_process_is_not_sent_again looked at answers alone.

Each statement has an id of its own, as the protocol says; the checks are the same.

--- a/crates/driver/tests/harness/mod.rs
+++ b/crates/driver/tests/harness/mod.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -406,15 +406,17 @@
     send_statement_with(stream, workload, 25_000, "x")
 }
 
-/// Sends a statement for this key with this timeout; returns its text.
+/// Sends a statement for this key with this timeout, under an id of its own; returns its text.
 pub(crate) fn send_statement_with(
     stream: &mut TcpStream,
     workload: &str,
     timeout_ms: u32,
     key: &str,
 ) -> String {
+    static LAST_ID: AtomicU32 = AtomicU32::new(0);
+    let id = LAST_ID.fetch_add(1, Ordering::Relaxed);
     let text = format!(
-        "/* id=1f,c={workload},d={timeout_ms},cluster=1,k=7 */ SELECT blob FROM rows WHERE handle = '{key}'"
+        "/* id=h{id:x},c={workload},d={timeout_ms},cluster=1,k=7 */ SELECT blob FROM rows WHERE handle = '{key}'"
     );
     stream
         .write_all(&message(b'Q', format!("{text}\0").as_bytes()))
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -525,6 +525,18 @@
     assert_eq!(member.next_event(), "disconnected");
 }
 
+fn assert_not_sent_again(harness: &UpgradeHarness, member: &Member, id: u32, process: &str) {
+    while member.events.try_recv().is_ok() {}
+    assert_eq!(
+        harness.execute("post", id),
+        "E40003 Z",
+        "id {id} at the {process}"
+    );
+    let statement = format!("id={id:x},");
+    let is_sent_again = member.events.try_iter().any(|event| event.contains(&statement));
+    assert!(!is_sent_again, "id {id} is sent again by the {process}");
+}
+
 /// Guards against a write that is executed twice: its id came again at the other process of an upgrade after its
 /// client had left.
 #[test]
@@ -558,11 +570,7 @@
     drop(waiting_client);
     harness.wait_for_counter(harness.driver.process.child.id(), "open_statements=0 ");
     for id in [1, sent_id] {
-        assert_eq!(
-            harness.execute("post", id),
-            "E40003 Z",
-            "id {id} at the successor"
-        );
+        assert_not_sent_again(&harness, &member, id, "successor");
     }
     while member.events.try_recv().is_ok() {}
     abandon_write(&harness, &member, 200);
@@ -571,11 +579,7 @@
         .driver
         .wait_for_log("upgrade: failed, this process continues to serve: the new process ended");
     for id in [1, sent_id, 200] {
-        assert_eq!(
-            harness.execute("post", id),
-            "E40003 Z",
-            "id {id} at the predecessor"
-        );
+        assert_not_sent_again(&harness, &member, id, "predecessor");
     }
 }
 
