--- a/crates/driver/src/program/upgrade/predecessor.rs
+++ b/crates/driver/src/program/upgrade/predecessor.rs
@@ -107,6 +107,7 @@
                 );
             }
         }
+        self.apply_facts(event_loop, now);
         while let Ok(event) = self.events.try_recv() {
             self.on_successor_event(event_loop, now, event);
         }
@@ -119,6 +120,14 @@
         self.move_clients(event_loop, now);
     }
 
+    /// Applies what the successor has journaled: this process may still read a statement of a client that is about
+    /// to move.
+    fn apply_facts(&self, event_loop: &mut EventLoop<Log>, now: Timestamp) {
+        for fact in self.retained_clients.take_facts() {
+            event_loop.learn_fact(now, &fact);
+        }
+    }
+
     /// When [`PredecessorRole::advance_to`] is next due.
     pub fn next_at(&self) -> Timestamp {
         self.state_machine.next_deadline()
--- a/crates/driver/src/program/upgrade/retained_clients.rs
+++ b/crates/driver/src/program/upgrade/retained_clients.rs
@@ -172,6 +172,16 @@
             .spawn(read_all)
     }
 
+    /// Takes the facts that the successor has journaled since the last call.
+    pub(super) fn take_facts(&self) -> VecDeque<LearnedFact> {
+        let mut table = self.table();
+        table
+            .replay
+            .as_mut()
+            .map(JournalReplay::take_facts)
+            .unwrap_or_default()
+    }
+
     /// Drops all clients, since the successor owns the service.
     pub(super) fn clear(&self) {
         *self.table() = ClientTable::default();
