A predecessor of a second upgrade tells the ids that it sends to members

Callers would see: in an upgrade behind another one, an id that the predecessor sent to a member after it had written its state is sent again by the successor.

Found by reading.

Each step waits for the process that it means now, the waiting statements are counted before the upgrade, and that the predecessor learns a fact while both serve is checked by its counter; without the last mend it stays at 0.

--- a/crates/driver/src/routing/event_loop/peer_process.rs
+++ b/crates/driver/src/routing/event_loop/peer_process.rs
@@ -134,7 +134,9 @@
     /// Tells the peer process a fact, if there is one: by the journal at once, otherwise with the next messages.
     pub(super) fn tell_peer_process(&mut self, fact: LearnedFact) {
         match &self.journal {
-            Some(journal) if self.journals_facts => journal.append(&JournalRecord::Learned(fact), None),
+            Some(journal) if self.journals_facts && journal.is_active() => {
+                journal.append(&JournalRecord::Learned(fact), None);
+            }
             _ => self.handover.add_learned_fact(fact),
         }
     }
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -119,6 +119,32 @@
         }
     }
 
+    /// Connects the only client, and waits until this process serves it.
+    fn connect_at(&self, serving_pid: u32) -> TcpStream {
+        let client = self.driver.process.connect();
+        self.wait_for_counter(serving_pid, "open_clients=1 ");
+        client
+    }
+
+    /// Makes the serving process, and so its successors, stay on probation until the test ends.
+    fn set_long_probation(&self, serving_pid: u32) {
+        let settings = HANDOVER_SETTINGS.replace("probation = 200ms", "probation = 1h");
+        std::fs::write(&self.driver.operators_file, settings).expect("write the operators' file");
+        self.signal(serving_pid, "HUP");
+        self.driver.wait_for_log("is applied");
+    }
+
+    /// The value of a counter that the process logs.
+    fn counter(&self, pid: u32, name: &str) -> u64 {
+        self.signal(pid, "USR1");
+        let counters = self.driver.wait_for_log("counters: clients_accepted=");
+        let value = counters.split(&format!(" {name}=")).nth(1);
+        let value = value.and_then(|text| text.split(' ').next());
+        value
+            .and_then(|text| text.parse().ok())
+            .expect("read the counter")
+    }
+
     /// Replaces the configuration and makes the first process reload it.
     fn configure(&self, text: &str) {
         std::fs::write(&self.driver.process.path, text).expect("write the file");
@@ -516,70 +542,82 @@
     }
 }
 
-/// Sends a write, waits until the member has it, and closes the connection.
-fn abandon_write(harness: &UpgradeHarness, member: &Member, id: u32) {
-    let mut client = harness.driver.process.connect();
+/// Sends a write, waits until the member has it, closes the connection, and waits until the process that serves it
+/// has noticed that.
+fn abandon_write(harness: &UpgradeHarness, member: &Member, id: u32, serving_pid: u32) {
+    let mut client = harness.connect_at(serving_pid);
     send_statement_with_id(&mut client, "post", id);
-    assert!(member.next_event().contains(&format!("id={id:x},")));
+    let statement = format!("id={id:x},");
+    while !member.next_event().contains(&statement) {}
     drop(client);
-    assert_eq!(member.next_event(), "disconnected");
+    harness.wait_for_counter(serving_pid, "open_statements=0 ");
 }
 
-fn assert_not_sent_again(harness: &UpgradeHarness, member: &Member, id: u32, process: &str) {
+fn assert_not_sent_again(harness: &UpgradeHarness, member: &Member, id: u32, serving_pid: u32) {
+    let mut client = harness.connect_at(serving_pid);
     while member.events.try_recv().is_ok() {}
-    assert_eq!(
-        harness.execute("post", id),
-        "E40003 Z",
-        "id {id} at the {process}"
-    );
+    send_statement_with_id(&mut client, "post", id);
+    assert_eq!(read_answer(&mut client).0, "E40003 Z", "id {id}");
     let statement = format!("id={id:x},");
     let is_sent_again = member.events.try_iter().any(|event| event.contains(&statement));
-    assert!(!is_sent_again, "id {id} is sent again by the {process}");
+    assert!(!is_sent_again, "id {id} is sent again");
 }
 
 /// Guards against a write that is executed twice: its id came again at the other process of an upgrade after its
 /// client had left.
 #[test]
 fn handover_id_sent_by_either_process_is_not_sent_again() {
-    let settings = HANDOVER_SETTINGS.replace("probation = 200ms", "probation = 1h");
+    check_ids_of_handover(0);
+}
+
+/// Guards against the same in a later upgrade: the predecessor still counted on the I/O journal of its own handover,
+/// which had ended, to tell its successor.
+#[test]
+fn handover_id_sent_by_either_process_of_second_upgrade_is_not_sent_again() {
+    check_ids_of_handover(1);
+}
+
+fn check_ids_of_handover(earlier_upgrades: u32) {
     let member = start_member(MemberBehavior::AnswerOnRelease);
-    let mut harness = UpgradeHarness::new("ids", &member, &settings);
-    abandon_write(&harness, &member, 1);
+    let mut harness = UpgradeHarness::new(&format!("ids-{earlier_upgrades}"), &member, HANDOVER_SETTINGS);
+    (0..earlier_upgrades).for_each(|_| harness.upgrade());
+    let predecessor = harness.pid.unwrap_or(harness.driver.process.child.id());
+    harness.set_long_probation(predecessor);
+    abandon_write(&harness, &member, 1, predecessor);
     // Of these, as many are sent as the member takes at once; the rest wait in the predecessor.
     let mut waiting_client = harness.driver.process.connect();
     for id in 100..116 {
         send_statement_with_id(&mut waiting_client, "post", id);
     }
-    let mut last_sent = member.next_event();
-    let (pid, _upgrade_request) = harness.begin_upgrade();
-    harness.pid = Some(pid);
-    harness.await_client_moves(pid);
-    last_sent = member.events.try_iter().last().unwrap_or(last_sent);
-    assert!(
-        !last_sent.contains("id=73,"),
-        "a statement waits in the predecessor"
-    );
+    harness.wait_for_counter(predecessor, "statements_taken=17 ");
+    let sent = harness.counter(predecessor, "executions_sent") - 1;
+    assert!(sent < 16, "statements wait in the predecessor");
+    let is_statement = |event: &String| event.contains("id=");
+    let next_statement = || std::iter::repeat_with(|| member.next_event()).find(is_statement);
+    (0..sent).for_each(|_| drop(next_statement()));
+    let (successor, _upgrade_request) = harness.begin_upgrade();
+    harness.pid = Some(successor);
+    harness.await_client_moves(successor);
     // The predecessor sends the next one on probation, after the successor has its state.
     member.release.send(()).expect("release a statement");
-    let sent_on_probation = member.next_event();
-    let sent_id = sent_on_probation
-        .split("id=")
-        .nth(1)
-        .and_then(|text| text.split(',').next());
+    let sent_on_probation = next_statement().expect("a waiting statement is sent");
+    let sent_id = sent_on_probation.split("id=").nth(1);
+    let sent_id = sent_id.and_then(|text| text.split(',').next());
     let sent_id = u32::from_str_radix(sent_id.expect("the statement has an id"), 16).expect("parse the id");
     drop(waiting_client);
-    harness.wait_for_counter(harness.driver.process.child.id(), "open_statements=0 ");
+    harness.wait_for_counter(predecessor, "open_statements=0 ");
     for id in [1, sent_id] {
-        assert_not_sent_again(&harness, &member, id, "successor");
+        assert_not_sent_again(&harness, &member, id, successor);
     }
-    while member.events.try_recv().is_ok() {}
-    abandon_write(&harness, &member, 200);
-    harness.signal(pid, "KILL");
-    harness
-        .driver
-        .wait_for_log("upgrade: failed, this process continues to serve: the new process ended");
+    abandon_write(&harness, &member, 200, successor);
+    // The predecessor knows it while both serve.
+    harness.wait_for_counter(predecessor, "facts_from_peer_process=1 ");
+    harness.signal(successor, "KILL");
+    harness.pid = Some(predecessor);
+    let failure = "upgrade: failed, this process continues to serve: the new process ended";
+    harness.driver.wait_for_log(failure);
     for id in [1, sent_id, 200] {
-        assert_not_sent_again(&harness, &member, id, "predecessor");
+        assert_not_sent_again(&harness, &member, id, predecessor);
     }
 }
 
