An answer that cannot be written yet is dropped where no memory is left

Callers saw: clients that sent reads of large values ahead and didn't read, or whose first read hung, made the process pass its memory limit: 71.9 MB of 32 (150 clients, 256 descriptors), 207.4 MB (600 clients, 1,024).

Cause: answers that wait for earlier ones or for the client to read were kept without a bound; counting them only had other statements refused.

Change: such an answer is replaced by an error if the clients' budget has no room for it: 53300 where a retry is safe, otherwise 40003. An answer that can be written at once still is.

--- a/crates/driver/src/protocol/client_events.rs
+++ b/crates/driver/src/protocol/client_events.rs
@@ -119,8 +119,13 @@
 
 /// The final answer to a statement, which gets exactly one.
 pub enum FinalAnswer {
-    /// The unmodified messages of a member's answer.
-    Rows(Vec<u8>),
+    /// A member's answer.
+    Rows {
+        /// Its unmodified messages.
+        messages: Vec<u8>,
+        /// The client may safely retry the statement, although it was executed.
+        is_retry_safe: bool,
+    },
     /// An error reported by this driver.
     Error {
         /// SQLSTATE.
@@ -146,7 +151,7 @@
     /// Encodes the answer for the client, including ReadyForQuery.
     pub(super) fn into_bytes(self) -> Vec<u8> {
         let mut bytes = match self {
-            FinalAnswer::Rows(bytes) => bytes,
+            FinalAnswer::Rows { messages, .. } => messages,
             FinalAnswer::Error {
                 code,
                 message,
--- a/crates/driver/src/protocol/client_session.rs
+++ b/crates/driver/src/protocol/client_session.rs
@@ -5,7 +5,8 @@
 use super::pipeline::{AnsweredStatement, Pipeline};
 use super::startup::{self, Startup};
 use super::statement_comment::{
-    CLIENT_DISCONNECTED, OUT_OF_MEMORY, TOO_FAR_AHEAD, TOO_LARGE, TOO_MANY_CONNECTIONS,
+    ANSWER_DROPPED, ANSWER_DROPPED_AFTER_EXECUTION, CLIENT_DISCONNECTED, OUT_OF_MEMORY, TOO_FAR_AHEAD,
+    TOO_LARGE, TOO_MANY_CONNECTIONS,
 };
 use crate::transport::connection::{ConnectionHandler, ConnectionOutput};
 use crate::transport::io_journal::IoJournalWriter;
@@ -289,7 +290,11 @@
     }
 
     fn on_answer(&mut self, number: u32, answer: FinalAnswer, at: Timestamp, out: &mut Output) {
-        if self.state != State::Ready || !self.pipeline.answer(number, answer) {
+        if self.state != State::Ready {
+            return;
+        }
+        let answer = self.limit_answer(number, answer, out);
+        if !self.pipeline.answer(number, answer) {
             return;
         }
         self.write_answers(out);
@@ -299,6 +304,28 @@
         }
     }
 
+    /// Replaces a member's answer that can't be written yet by an error if no memory is left for it.
+    fn limit_answer(&mut self, number: u32, answer: FinalAnswer, out: &Output) -> FinalAnswer {
+        let FinalAnswer::Rows {
+            messages,
+            is_retry_safe,
+        } = &answer
+        else {
+            return answer;
+        };
+        let can_be_written = out.bytes.is_empty() && self.pipeline.is_first(number);
+        let needed = out.bytes.len() + self.pipeline.held_bytes() + messages.len();
+        if can_be_written || self.budget.has_room_for(needed) {
+            return answer;
+        }
+        self.rejected_for_memory += 1;
+        if *is_retry_safe {
+            ANSWER_DROPPED.into()
+        } else {
+            ANSWER_DROPPED_AFTER_EXECUTION.into()
+        }
+    }
+
     /// Rejects the statements that were read and not yet reported, since the client has closed its side behind
     /// them.
     fn reject_unreported(&mut self, out: &mut Output) {
--- a/crates/driver/src/protocol/pipeline.rs
+++ b/crates/driver/src/protocol/pipeline.rs
@@ -46,6 +46,11 @@
         answers.map(Vec::capacity).sum()
     }
 
+    /// Whether the statement with this number is the first one.
+    pub(super) fn is_first(&self, number: u32) -> bool {
+        number == self.first_number
+    }
+
     /// Adds a statement without an answer and returns its number.
     pub(super) fn push_open(&mut self, end: u64) -> u32 {
         let number = self.first_number.wrapping_add(self.statements.len() as u32);
--- a/crates/driver/src/protocol/statement_comment.rs
+++ b/crates/driver/src/protocol/statement_comment.rs
@@ -59,6 +59,14 @@
 pub const DUPLICATE_ID: StatementError = error("22023", "another statement with this id is open");
 /// The memory budget of clients is exhausted.
 pub const OUT_OF_MEMORY: StatementError = error("53300", "no memory is left for the statement");
+/// The client does not read its answers, and the memory budget of clients is exhausted. The statement was executed
+/// and is safe to retry.
+pub const ANSWER_DROPPED: StatementError = error("53300", "no memory is left for the answer");
+/// Like [`ANSWER_DROPPED`], for a statement that is not safe to retry.
+pub const ANSWER_DROPPED_AFTER_EXECUTION: StatementError = error(
+    "40003",
+    "no memory is left for the answer, and the statement was executed",
+);
 /// The client has closed its side of the connection.
 pub const CLIENT_DISCONNECTED: StatementError =
     error("53300", "the client has closed its side of the connection");
--- a/crates/driver/src/routing/event_loop/members.rs
+++ b/crates/driver/src/routing/event_loop/members.rs
@@ -63,7 +63,11 @@
         match (reply, request.kind) {
             // The bytes of the first complete answer are forwarded unchanged.
             (Reply::Rows(rows), RequestKind::Execution(id)) => {
-                let is_answered = self.answer(id.statement, FinalAnswer::Rows(rows));
+                let answer = FinalAnswer::Rows {
+                    messages: rows,
+                    is_retry_safe: self.statements.is_client_retry_safe(id.statement),
+                };
+                let is_answered = self.answer(id.statement, answer);
                 self.metrics.completed += u64::from(is_answered);
             }
             (Reply::Malformed, _) => {
--- a/crates/driver/tests/protocol/client_session.rs
+++ b/crates/driver/tests/protocol/client_session.rs
@@ -101,11 +101,7 @@
     input.extend(&query("SELECT 1")[query("SELECT 1").len() / 2..]);
     session.on_input(&mut input, AT, &mut out);
     assert_eq!(describe_client_events(&out.events), "idle partial stmt(SELECT 1)");
-    session.on_command(
-        ClientCommand::Answer(0, FinalAnswer::Rows(Vec::new())),
-        AT,
-        &mut out,
-    );
+    session.on_command(ClientCommand::Answer(0, rows(Vec::new())), AT, &mut out);
     assert_eq!(
         finish_drain(&mut session, &mut input, &mut out),
         "",
@@ -139,11 +135,7 @@
     session.on_command(ClientCommand::Drain, AT, &mut out);
     for number in 0..3 {
         assert!(!out.close, "{number}");
-        session.on_command(
-            ClientCommand::Answer(number, FinalAnswer::Rows(Vec::new())),
-            AT,
-            &mut out,
-        );
+        session.on_command(ClientCommand::Answer(number, rows(Vec::new())), AT, &mut out);
         session.on_input(&mut input, AT, &mut out);
     }
     assert_eq!(finish_drain(&mut session, &mut input, &mut out), "");
@@ -165,11 +157,7 @@
     session.on_all_read(AT, &mut out);
     assert!(!out.close);
     assert_eq!(describe_client_events(&out.events), "idle stmt(a)");
-    session.on_command(
-        ClientCommand::Answer(0, FinalAnswer::Rows(Vec::new())),
-        AT,
-        &mut out,
-    );
+    session.on_command(ClientCommand::Answer(0, rows(Vec::new())), AT, &mut out);
     assert_eq!(finish_drain(&mut session, &mut input, &mut out), "");
 }
 
@@ -257,33 +245,17 @@
         message: "m",
         retry_after_ms: None,
     };
-    let rows = [message(b'T', b"t"), message(b'D', b"d"), message(b'C', b"c")].concat();
+    let messages = [message(b'T', b"t"), message(b'D', b"d"), message(b'C', b"c")].concat();
     // Command, expected output, and whether the connection closes.
     let steps = [
         (ClientCommand::Answer(2, failure), "", false),
-        (
-            ClientCommand::Answer(0, FinalAnswer::Rows(rows.clone())),
-            "T D C Z",
-            false,
-        ),
-        (
-            ClientCommand::Answer(0, FinalAnswer::Rows(rows.clone())),
-            "",
-            false,
-        ),
+        (ClientCommand::Answer(0, rows(messages.clone())), "T D C Z", false),
+        (ClientCommand::Answer(0, rows(messages.clone())), "", false),
         (ClientCommand::Drain, "", false),
-        (
-            ClientCommand::Answer(2, FinalAnswer::Rows(rows.clone())),
-            "",
-            false,
-        ),
+        (ClientCommand::Answer(2, rows(messages.clone())), "", false),
         (ClientCommand::Answer(1, rejection), "E53300250 Z E40003 Z", true),
         // Commands after the close have no effect.
-        (
-            ClientCommand::Answer(1, FinalAnswer::Rows(rows.clone())),
-            "",
-            true,
-        ),
+        (ClientCommand::Answer(1, rows(messages.clone())), "", true),
         (ClientCommand::Reject, "", true),
     ];
     for (step, (command, expected_output, close)) in steps.into_iter().enumerate() {
@@ -291,7 +263,7 @@
         session.on_input(&mut input, AT, &mut out);
         session.on_all_read(AT, &mut out);
         if step == 1 {
-            assert!(out.bytes.starts_with(&rows), "rows are forwarded unmodified");
+            assert!(out.bytes.starts_with(&messages), "rows are forwarded unmodified");
         }
         assert_eq!(
             (&describe_messages(&out.bytes)[..], out.close),
@@ -325,25 +297,13 @@
         "the client's close is noticed behind this much"
     );
     out.bytes.clear();
-    session.on_command(
-        ClientCommand::Answer(2, FinalAnswer::Rows(Vec::new())),
-        AT,
-        &mut out,
-    );
+    session.on_command(ClientCommand::Answer(2, rows(Vec::new())), AT, &mut out);
     assert!(out.bytes.is_empty(), "earlier statements are open");
-    session.on_command(
-        ClientCommand::Answer(0, FinalAnswer::Rows(Vec::new())),
-        AT,
-        &mut out,
-    );
+    session.on_command(ClientCommand::Answer(0, rows(Vec::new())), AT, &mut out);
     assert_eq!(describe_messages(&out.bytes), "Z I Z Z");
     for number in (1..600).filter(|n| *n != 2) {
         session.on_input(&mut input, AT, &mut out);
-        session.on_command(
-            ClientCommand::Answer(number, FinalAnswer::Rows(Vec::new())),
-            AT,
-            &mut out,
-        );
+        session.on_command(ClientCommand::Answer(number, rows(Vec::new())), AT, &mut out);
     }
     assert_eq!(describe_messages(&out.bytes).matches('Z').count(), 302);
 }
@@ -415,6 +375,39 @@
     }
 }
 
+/// Guards against a process that passes its memory limit: answers that clients didn't read, or that waited for
+/// earlier ones, were kept without a bound.
+#[test]
+fn on_command_answer_that_cannot_be_written_is_dropped_without_memory() {
+    const ANSWER_BYTES: usize = 50_000;
+    for (is_retry_safe, expected_error) in [(true, "E53300 Z"), (false, "E40003 Z")] {
+        let budget = MemoryBudget::new(200_000);
+        let (mut session, mut out) = (ClientSession::new(1, budget.clone()), ConnectionOutput::default());
+        let mut input = [default_startup(), query("a"), query("b"), query("c")].concat();
+        session.on_input(&mut input, AT, &mut out);
+        out.bytes.clear();
+        let mut answer = |number, out: &mut ConnectionOutput<_>| {
+            let rows = FinalAnswer::Rows {
+                messages: message(b'D', &[b'x'; ANSWER_BYTES]),
+                is_retry_safe,
+            };
+            session.on_command(ClientCommand::Answer(number, rows), AT, out);
+            session.on_input(&mut Vec::new(), AT, out);
+        };
+        // The second one waits for the first, with memory and then without.
+        answer(1, &mut out);
+        let mut others = budget.empty_reservation();
+        others.force_resize(200_000);
+        answer(2, &mut out);
+        assert!(out.bytes.is_empty());
+        // The first one can be written at once.
+        answer(0, &mut out);
+        let expected_answers = format!("D Z D Z {expected_error}");
+        assert_eq!(describe_messages(&out.bytes), expected_answers);
+        assert!(describe_client_events(&out.events).ends_with("out of memory idle"));
+    }
+}
+
 /// Guards against attempts behind a client's leave: a client's close isn't noticed while much of what it has sent
 /// is unread, and its statements were sent on one after another.
 #[test]
@@ -430,7 +423,7 @@
     // The time in which the session itself reads nothing doesn't count.
     let mut at = AT + LONG;
     for number in 0..16 {
-        let answer = ClientCommand::Answer(number, FinalAnswer::Rows(Vec::new()));
+        let answer = ClientCommand::Answer(number, rows(Vec::new()));
         session.on_command(answer, at, &mut out);
         session.on_input(&mut input, AT, &mut out);
     }
--- a/crates/driver/tests/protocol/harness.rs
+++ b/crates/driver/tests/protocol/harness.rs
@@ -37,6 +37,14 @@
     ClientSession::new(1, MemoryBudget::new(budget_bytes))
 }
 
+/// A member's answer to a statement that is safe to retry.
+pub(crate) fn rows(messages: Vec<u8>) -> FinalAnswer {
+    FinalAnswer::Rows {
+        messages,
+        is_retry_safe: true,
+    }
+}
+
 /// A startup message with this version and these fields.
 pub(crate) fn startup_message(version: u32, fields: &[u8]) -> Vec<u8> {
     let length = 8 + fields.len() as u32;
--- a/crates/driver/tests/routing/harness.rs
+++ b/crates/driver/tests/routing/harness.rs
@@ -276,7 +276,7 @@
     pub(crate) fn received(&self, client: u32) -> String {
         let descriptions = self.clients[&client].try_iter().map(|command| match command {
             ClientCommand::HandOver => "handed over".to_owned(),
-            ClientCommand::Answer(_, FinalAnswer::Rows(rows)) => {
+            ClientCommand::Answer(_, FinalAnswer::Rows { messages: rows, .. }) => {
                 format!("rows({})", String::from_utf8_lossy(&rows))
             }
             ClientCommand::Answer(
