Statements of a client that has sent too much ahead are sent soon or refused

Cause: the up to 16 statements that were taken before the backlog waited for a member as if the client were there; its close can't be seen behind so much.

Change: the session reports a backlog, and the policy sends what waits within 80 ms or refuses it. The deduplication window only shortens a statement's dispatch deadline now, so that it doesn't undo the limit; the deadline of the answer was earlier than what it lengthened.

--- a/crates/driver/src/protocol/client_events.rs
+++ b/crates/driver/src/protocol/client_events.rs
@@ -56,6 +56,11 @@
         /// Protocol state of the connection.
         transfer_state: ClientTransferState,
     },
+    /// The client has sent so much ahead of its open statements that its close could go unnoticed.
+    Backlogged {
+        /// Id of the client.
+        client: u32,
+    },
     /// The client has closed its side while statements are open. It may still wait for their answers.
     InputEnded {
         /// Id of the client.
--- a/crates/driver/src/protocol/client_session.rs
+++ b/crates/driver/src/protocol/client_session.rs
@@ -527,8 +527,11 @@
         }
     }
 
-    fn on_backlog(&mut self) {
-        self.is_backlogged = true;
+    fn on_backlog(&mut self, out: &mut Output) {
+        let was_backlogged = std::mem::replace(&mut self.is_backlogged, true);
+        if !was_backlogged && !self.pipeline.is_empty() {
+            out.events.push(ClientEvent::Backlogged { client: self.client });
+        }
     }
 
     fn on_input_ended(&mut self, is_all_read: bool, out: &mut Output) -> bool {
--- a/crates/driver/src/routing/clients.rs
+++ b/crates/driver/src/routing/clients.rs
@@ -305,6 +305,12 @@
         }
     }
 
+    /// The open statements of the client.
+    pub fn open_statements(&self, id: u32) -> Vec<u32> {
+        let client = self.open.get(&id);
+        client.map_or(Vec::new(), |client| client.open_statements.clone())
+    }
+
     /// Removes a statement that has its final answer.
     pub fn remove_statement(&mut self, id: u32, statement: u32) {
         if let Some(client) = self.open.get_mut(&id) {
--- a/crates/driver/src/routing/event_loop/clients.rs
+++ b/crates/driver/src/routing/event_loop/clients.rs
@@ -18,6 +18,9 @@
 use asterlatch_handover::io_journal::{StatementVerdict, StatementVerdicts};
 use std::io;
 
+/// Time after which no statement of a client is sent to a member any more whose disconnect could go unnoticed.
+const MAX_DISPATCH_DELAY_OF_BACKLOG: TimeSpan = TimeSpan::millis(80);
+
 impl<L: Logger> EventLoop<L> {
     /// Prepares for shutdown: every statement gets its final answer by `last_answer_at`.
     pub fn begin_shutdown(&mut self, now: Timestamp, last_answer_at: Timestamp) {
@@ -78,6 +81,7 @@
             } => self.on_statement(now, StatementOrigin { client, number, end }, text, at),
             ClientEvent::Idle { client, since } => self.clients.on_idle(client, since),
             ClientEvent::PartialMessage { client, since } => self.clients.on_partial_message(client, since),
+            ClientEvent::Backlogged { client } => self.on_client_backlogged(now, client),
             ClientEvent::HalfClosed { client } => self.clients.on_half_closed(client, now),
             ClientEvent::Malformed => {
                 self.metrics.clients_malformed += 1;
@@ -108,6 +112,14 @@
         }
     }
 
+    /// Has the client's statements sent soon or not at all, since its disconnect could go unnoticed.
+    fn on_client_backlogged(&mut self, now: Timestamp, client: u32) {
+        let statements = self.clients.open_statements(client);
+        let until = now + MAX_DISPATCH_DELAY_OF_BACKLOG;
+        let actions = self.policy.limit_dispatch(now, &statements, until);
+        self.execute_actions(now, actions);
+    }
+
     /// Withdraws the statements of all clients that disconnect in a batch. The disconnects of clients that
     /// were accepted and are not admitted yet are noted for their admission.
     pub(super) fn on_disconnects_in_batch(&mut self, now: Timestamp, batch: &[Event]) {
--- a/crates/driver/src/transport/connection/coroutine.rs
+++ b/crates/driver/src/transport/connection/coroutine.rs
@@ -190,7 +190,7 @@
             self.handle_input();
         }
         if events.contains(PollFlags::IN) && !self.handler.wants_input(self.input.len()) {
-            self.handler.on_backlog();
+            self.handler.on_backlog(&mut self.out);
         }
         Flow::Wait
     }
--- a/crates/driver/src/transport/connection/mod.rs
+++ b/crates/driver/src/transport/connection/mod.rs
@@ -74,7 +74,7 @@
     }
     /// The socket holds input that `wants_input` has declined. The peer may have closed its side behind that input
     /// and behind input that is still on its way.
-    fn on_backlog(&mut self) {}
+    fn on_backlog(&mut self, _out: &mut ConnectionOutput<Self::Event>) {}
     /// All input that the socket held at `_at` was read.
     fn on_all_read(&mut self, _at: Timestamp, _out: &mut ConnectionOutput<Self::Event>) {}
     /// Whether this is the server side of the protocol. Such a connection closes gracefully: it closes its
--- a/crates/driver/tests/protocol/client_session.rs
+++ b/crates/driver/tests/protocol/client_session.rs
@@ -419,7 +419,10 @@
     assert_eq!(describe_client_events(&out.events).matches("stmt(a)").count(), 16);
     out.events.clear();
     out.bytes.clear();
-    session.on_backlog();
+    session.on_backlog(&mut out);
+    session.on_backlog(&mut out);
+    assert_eq!(describe_client_events(&out.events), "backlogged");
+    out.events.clear();
     // The time in which the session itself reads nothing doesn't count.
     let mut at = AT + LONG;
     for number in 0..16 {
--- a/crates/driver/tests/protocol/harness.rs
+++ b/crates/driver/tests/protocol/harness.rs
@@ -93,6 +93,7 @@
         client_events::ClientEvent::Oversized => "oversized".to_owned(),
         client_events::ClientEvent::OutOfMemory { count: 1 } => "out of memory".to_owned(),
         client_events::ClientEvent::OutOfMemory { count } => format!("out of memory {count} times"),
+        client_events::ClientEvent::Backlogged { .. } => "backlogged".to_owned(),
         client_events::ClientEvent::InputEnded { .. } => "input ended".to_owned(),
         client_events::ClientEvent::HalfClosed { .. } => "half closed".to_owned(),
         client_events::ClientEvent::Closed { .. } => "closed".to_owned(),
--- a/crates/driver/tests/routing/client_disconnects.rs
+++ b/crates/driver/tests/routing/client_disconnects.rs
@@ -105,6 +105,26 @@
     assert_eq!(harness.event_loop.metrics.withdrawn, 2);
 }
 
+/// Guards against attempts behind a client's leave, which goes unnoticed while much of what it has sent is unread.
+#[test]
+fn on_event_backlogged_client_has_waiting_statements_rejected_soon() {
+    const STATEMENTS: u64 = 40;
+    let mut harness = harness_with_client();
+    for _ in 0..STATEMENTS {
+        harness.send_statement(1, LONG_WRITE);
+    }
+    let sent = harness.event_loop.metrics.executions_sent;
+    assert!((1..STATEMENTS).contains(&sent));
+    let backlogged = Event::Client(ClientEvent::Backlogged { client: 1 });
+    harness.event_loop.on_event(harness.now, backlogged);
+    harness.advance(100);
+    assert_eq!(
+        harness.received(1).matches("53300").count() as u64,
+        STATEMENTS - sent
+    );
+    assert_eq!(harness.event_loop.metrics.executions_sent, sent);
+}
+
 #[test]
 fn on_connected_after_client_disconnect_sends_nothing() {
     for disconnect in [connection_closed, input_ended] {
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -75,6 +75,16 @@
         }
     }
 
+    /// Limits the time until which a statement may be sent to a member.
+    pub(super) fn limit_dispatch_deadline(&mut self, id: u32, until: Timestamp) {
+        let Some(statement) = self.statements.get_mut(&id) else {
+            return;
+        };
+        statement.dispatch_deadline = statement.dispatch_deadline.min(until);
+        statement.unsent_deadline = statement.unsent_deadline.min(until);
+        self.schedule_statement(id);
+    }
+
     /// Share of its importance that a statement keeps under its tenant's quota, of which each driver has an
     /// even share.
     fn quota_share(&mut self, statement: &Statement) -> f64 {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -77,6 +77,16 @@
         self.run_rules()
     }
 
+    /// Limits the time in which these statements may be sent to a member, because it is no longer known whether
+    /// their client is still connected. Statements that wait until then are answered.
+    pub fn limit_dispatch(&mut self, now: Timestamp, statements: &[u32], until: Timestamp) -> Actions {
+        self.set_now(now);
+        for id in statements {
+            self.limit_dispatch_deadline(*id, until);
+        }
+        self.run_rules()
+    }
+
     /// Starts the shutdown: every open or new statement gets its final answer by `last_answer_at`.
     pub fn on_shutdown(&mut self, now: Timestamp, last_answer_at: Timestamp) -> Actions {
         self.set_now(now);
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -35,7 +35,8 @@
                 if let Some(attempt) = statement.indeterminate {
                     let window = workload.deduplication_window * SAFE_WINDOW_FRACTION;
                     let window = window - MAX_WRITE_DELAY;
-                    statement.dispatch_deadline = attempt.dispatched_at + window;
+                    let window_end = attempt.dispatched_at + window;
+                    statement.dispatch_deadline = statement.dispatch_deadline.min(window_end);
                 }
                 self.now < statement.dispatch_deadline
             }
--- a/tests/client_disconnects.rs
+++ b/tests/client_disconnects.rs
@@ -116,3 +116,23 @@
     assert!(actions.executions.is_empty());
     assert_eq!(answer(&actions, late), "rejected");
 }
+
+/// Guards against attempts behind a client's leave: statements of a client whose close can't be seen waited for a
+/// member and were sent to it long after.
+#[test]
+fn limit_dispatch_waiting_statement_is_rejected_at_the_limit() {
+    let (mut harness, sent, waiting) = saturated_primary();
+    let (limited, others) = waiting.split_at(400);
+    let mut actions = harness.driver.limit_dispatch(at(2), limited, at(82));
+    actions.answers.extend(harness.run_until(3, 100).answers);
+    assert!(limited.iter().all(|id| answer(&actions, *id) == "rejected"));
+    assert!(others.iter().all(|id| answer(&actions, *id).is_empty()));
+    // Capacity that is free then goes to other statements.
+    let mut dispatched = Vec::new();
+    for id in &sent {
+        let actions = harness.end_execution(101, *id, 0, 1, ExecutionOutcome::Completed);
+        dispatched.extend(actions.executions.iter().map(|e| e.statement));
+    }
+    assert!(!dispatched.is_empty());
+    assert!(dispatched.iter().all(|id| others.contains(id)));
+}
