--- a/crates/driver/src/program/upgrade/co_serving.rs
+++ b/crates/driver/src/program/upgrade/co_serving.rs
@@ -21,8 +21,8 @@
     answer.map(|message| HandoverMessage::CoServing(vec![message]))
 }
 
-/// The next message to the peer process, about draining members, executions in flight and learned facts; `None` if there is
-/// nothing new.
+/// The next message to the peer process, about draining members, executions in flight and learned facts; `None`
+/// if there is nothing new.
 pub(super) fn next_message(
     event_loop: &mut EventLoop<Log>,
     state: &mut CoServingState,
--- a/crates/driver/src/program/upgrade/predecessor.rs
+++ b/crates/driver/src/program/upgrade/predecessor.rs
@@ -249,7 +249,7 @@
     /// Sends state and descriptors. If either fails nothing is sent, and the successor's timeout ends the
     /// upgrade.
     fn send_state(&mut self, event_loop: &mut EventLoop<Log>, now: Timestamp) {
-        let facts = event_loop.begin_telling_facts();
+        let facts = event_loop.begin_recording_facts();
         let state = match serialize(event_loop, &facts, now, self.settings_hash) {
             Ok(state) => state,
             Err(error) => {
--- a/crates/driver/src/program/upgrade/successor.rs
+++ b/crates/driver/src/program/upgrade/successor.rs
@@ -90,8 +90,8 @@
     /// `None` once the journal has ended.
     journal: Option<IoJournalWriter>,
     co_serving: CoServingState,
-    /// The predecessor tells facts and reads them.
-    predecessor_knows_facts: bool,
+    /// The predecessor sends learned facts and understands them.
+    predecessor_supports_facts: bool,
     started_at: Timestamp,
 }
 
@@ -124,7 +124,7 @@
             journal_descriptors: None,
             journal: None,
             co_serving: CoServingState::default(),
-            predecessor_knows_facts: false,
+            predecessor_supports_facts: false,
             started_at: monotonic_now(),
         }))
     }
@@ -141,7 +141,7 @@
                     Action::Send(message) => self.send(&message),
                     Action::LoadState(bytes) => match self.load_state(&bytes, config) {
                         Ok(resumed) => {
-                            self.predecessor_knows_facts = resumed.learned.facts.is_some();
+                            self.predecessor_supports_facts = resumed.learned.facts.is_some();
                             return Ok(resumed);
                         }
                         Err(error) => {
@@ -197,7 +197,7 @@
                     Action::Send(message) => self.send(&message),
                     Action::StartServing => {
                         is_committed = true;
-                        self.accept_facts();
+                        self.announce_fact_support();
                     }
                     Action::Abort(reason) => return Err(reason.into()),
                     Action::LoadState(_) | Action::StartAccepting | Action::Report(_) => {}
@@ -210,10 +210,10 @@
         }
     }
 
-    /// Has the predecessor tell what it learns. Sent before the commit is acknowledged, and so before any client
-    /// moves.
-    fn accept_facts(&self) {
-        if self.predecessor_knows_facts {
+    /// Announces that this process understands learned facts. Sent before the commit is acknowledged, and so before
+    /// any client moves.
+    fn announce_fact_support(&self) {
+        if self.predecessor_supports_facts {
             let messages = vec![CoServingMessage::AcceptsFacts];
             self.send(&HandoverMessage::CoServing(messages));
         }
--- a/crates/driver/src/routing/event_loop/actions.rs
+++ b/crates/driver/src/routing/event_loop/actions.rs
@@ -58,6 +58,7 @@
             statement: execution.statement,
             attempt: number,
         };
+        self.record_dispatch(now, attempt, execution.member);
         self.record_execution(now, attempt, execution.member);
         let kind = RequestKind::Execution(attempt);
         let request = MemberRequest::new(kind, execution.member, now, deadline);
@@ -107,6 +108,7 @@
             let member = end.request.member;
             let actions = match end.request.kind {
                 RequestKind::Execution(AttemptId { statement, attempt }) => {
+                    self.record_dispatch_end(AttemptId { statement, attempt }, end.outcome);
                     execution_outcomes::count(&mut self.metrics, end.outcome);
                     let end = ExecutionEnd {
                         statement,
--- a/crates/driver/src/routing/event_loop/gossip.rs
+++ b/crates/driver/src/routing/event_loop/gossip.rs
@@ -5,7 +5,7 @@
 use crate::routing::gossip::{
     replica_statuses, DispatchedExecution, Gossip, GossipMessage, LoadReport, MemberStatusRecord, RequestEnd,
 };
-use crate::routing::member_requests::{AttemptId, RequestKind};
+use crate::routing::member_requests::AttemptId;
 use asterlatch::interface::{MemberEntry, MemberUpdate};
 use asterlatch::time::{RemoteTimestamp, TimeSpan, Timestamp};
 use asterlatch_gossip::membership::{PeerState, PeerStateChange};
@@ -74,22 +74,14 @@
 
     /// Records an execution when it is dispatched.
     pub(super) fn record_execution(&mut self, now: Timestamp, attempt: AttemptId, member: u32) {
+        let Some(gossip) = &mut self.gossip else { return };
         let Some(keys) = self.statements.keys(attempt.statement) else {
             return;
         };
-        let workload = self.workloads.get(keys.workload);
-        let is_write = workload.is_write();
-        if workload.needs_deduplication {
-            let member = self.members.name(member).unwrap_or_default();
-            let records = &mut self.dispatch_records;
-            let fact = records.on_dispatched(now, attempt, keys.client_id, member);
-            self.tell_peer_process(fact);
-        }
-        let Some(gossip) = &mut self.gossip else { return };
         let execution = DispatchedExecution {
             attempt,
             session: keys.session,
-            is_write,
+            is_write: self.workloads.get(keys.workload).is_write(),
         };
         let expected_work = self.policy.typical_latency(keys.workload);
         gossip.on_dispatched(now, execution, self.members.name(member), expected_work);
@@ -97,11 +89,6 @@
 
     /// Records the end of a request.
     pub(super) fn record_ended_request(&mut self, now: Timestamp, end: &EndedRequest) {
-        if let RequestKind::Execution(attempt) = end.request.kind {
-            if let Some(fact) = self.dispatch_records.on_ended(attempt, end.outcome) {
-                self.tell_peer_process(fact);
-            }
-        }
         let Some(gossip) = &mut self.gossip else { return };
         let member = end.request.member;
         let end = RequestEnd {
--- a/crates/driver/src/routing/event_loop/in_doubt.rs
+++ b/crates/driver/src/routing/event_loop/in_doubt.rs
@@ -1,9 +1,11 @@
-//! Statements that another driver may have dispatched: inquiries to and from other drivers.
+//! Statements that may have been dispatched before: records of this driver's dispatches, and inquiries to and from
+//! other drivers.
 
 use super::{EventLoop, Logger};
 use crate::routing::execution_outcomes;
 use crate::routing::gossip::StatementCheck;
-use asterlatch::interface::{PriorAttempt, Statement};
+use crate::routing::member_requests::AttemptId;
+use asterlatch::interface::{ExecutionOutcome, PriorAttempt, Statement};
 use asterlatch::time::{TimeSpan, Timestamp};
 use asterlatch_gossip::codec::InquiryId;
 use asterlatch_gossip::in_doubt::{DispatchStatus, InquiryOutcome, UNBOUNDED_AGE};
@@ -22,8 +24,28 @@
 }
 
 impl<L: Logger> EventLoop<L> {
-    /// Checks whether this driver or another one may have dispatched a statement. Returns the statement with its prior
-    /// attempt, if any; `None` if it is deferred until other drivers reply.
+    /// Records the dispatch of a statement that must not be executed twice.
+    pub(super) fn record_dispatch(&mut self, now: Timestamp, attempt: AttemptId, member: u32) {
+        let Some(keys) = self.statements.keys(attempt.statement) else {
+            return;
+        };
+        if self.workloads.get(keys.workload).needs_deduplication {
+            let member = self.members.name(member).unwrap_or_default();
+            let records = &mut self.dispatch_records;
+            let fact = records.on_dispatched(now, attempt, keys.client_id, member);
+            self.share_fact(fact);
+        }
+    }
+
+    /// Records the end of an execution.
+    pub(super) fn record_dispatch_end(&mut self, attempt: AttemptId, outcome: ExecutionOutcome) {
+        if let Some(fact) = self.dispatch_records.on_ended(attempt, outcome) {
+            self.share_fact(fact);
+        }
+    }
+
+    /// Checks whether this driver or another one may have dispatched a statement. Returns the statement with its
+    /// prior attempt, if any; `None` if it is deferred until other drivers reply.
     pub(super) fn check_prior_attempts(
         &mut self,
         now: Timestamp,
--- a/crates/driver/src/routing/event_loop/peer_process.rs
+++ b/crates/driver/src/routing/event_loop/peer_process.rs
@@ -29,7 +29,7 @@
     pub policy: RoutingPolicy,
     /// The directory of members.
     pub members: MemberDirectory,
-    /// What the other process has learned; `None` if it is of an earlier build, which tells none and reads none.
+    /// What the other process has learned; `None` if it is of an earlier build, which doesn't support facts.
     pub facts: Option<Vec<LearnedFact>>,
 }
 
@@ -121,8 +121,8 @@
 
     /// Facts for a peer process that is about to start. Those that are learned from now on are kept for
     /// [`EventLoop::take_learned_facts`].
-    pub fn begin_telling_facts(&mut self) -> Vec<LearnedFact> {
-        self.handover.begin_telling_facts();
+    pub fn begin_recording_facts(&mut self) -> Vec<LearnedFact> {
+        self.handover.begin_recording_facts();
         self.dispatch_records.to_facts()
     }
 
@@ -131,8 +131,9 @@
         self.handover.take_learned_facts()
     }
 
-    /// Tells the peer process a fact, if there is one: by the journal at once, otherwise with the next messages.
-    pub(super) fn tell_peer_process(&mut self, fact: LearnedFact) {
+    /// Shares a fact with the peer process, if there is one: through the journal at once, otherwise with the next
+    /// messages.
+    pub(super) fn share_fact(&mut self, fact: LearnedFact) {
         match &self.journal {
             Some(journal) if self.journals_facts && journal.is_active() => {
                 journal.append(&JournalRecord::Learned(fact), None);
--- a/crates/driver/src/routing/gossip/mod.rs
+++ b/crates/driver/src/routing/gossip/mod.rs
@@ -1,5 +1,5 @@
-//! The event loop's part in gossip: batches observations for other drivers, records statements that must not
-//! be executed twice, and coordinates with other drivers. Commands to the gossip thread never block.
+//! The event loop's part in gossip: batches observations for other drivers, inquires about statements that must
+//! not be executed twice, and coordinates with other drivers. Commands to the gossip thread never block.
 
 mod coordination;
 mod prior_attempts;
--- a/crates/driver/src/routing/handover.rs
+++ b/crates/driver/src/routing/handover.rs
@@ -157,7 +157,7 @@
     }
 
     /// Starts to record facts for a successor.
-    pub fn begin_telling_facts(&mut self) {
+    pub fn begin_recording_facts(&mut self) {
         self.learned_facts = Some(VecDeque::new());
     }
 
--- a/crates/driver/src/transport/connection/coroutine.rs
+++ b/crates/driver/src/transport/connection/coroutine.rs
@@ -1,5 +1,6 @@
 //! The coroutine of a connection.
 
+use super::buffer;
 use super::{ConnectionHandle, ConnectionHandler, ConnectionOutput};
 use crate::transport::clock::Clock;
 use crate::transport::event_registration;
@@ -18,8 +19,6 @@
 const MAX_READ_BYTES: usize = 16 * 1024;
 /// Memory of a connection that is exempt from the memory budget. Buffers up to this size are not shrunk.
 const UNRESERVED_BYTES: usize = 1024;
-/// A buffer that is too small grows by its content divided by this, since unused capacity takes memory too.
-const GROWTH_DIVISOR: usize = 8;
 /// Incomplete messages leave the budget's capacity divided by this to other uses, so that clients that stop in
 /// the middle of large requests don't have all other statements rejected.
 const INCOMPLETE_MESSAGE_DIVISOR: usize = 4;
@@ -36,16 +35,6 @@
     static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; MAX_READ_BYTES]);
 }
 
-/// Appends bytes to a buffer, which grows by a small share: hundreds of connections may hold large messages.
-fn append(buffer: &mut Vec<u8>, bytes: &[u8]) {
-    let needed = buffer.len() + bytes.len();
-    if needed > buffer.capacity() {
-        let capacity = needed + buffer.len() / GROWTH_DIVISOR;
-        buffer.reserve_exact(capacity - buffer.len());
-    }
-    buffer.extend_from_slice(bytes);
-}
-
 struct Connection<H: ConnectionHandler, M> {
     io: CoIo<TcpStream>,
     is_open: bool,
@@ -165,7 +154,7 @@
             } else {
                 self.io.inner().read(buffer)?
             };
-            append(&mut self.input, &buffer[..count]);
+            buffer::append(&mut self.input, &buffer[..count]);
             Ok(count)
         })
     }
@@ -256,9 +245,7 @@
     /// suffices.
     fn reserve_memory(&mut self) -> bool {
         for bytes in [&mut self.input, &mut self.out.bytes] {
-            if bytes.capacity() > UNRESERVED_BYTES && bytes.len() <= bytes.capacity() / 2 {
-                bytes.shrink_to(bytes.len() + bytes.len() / GROWTH_DIVISOR);
-            }
+            buffer::shrink(bytes, UNRESERVED_BYTES);
         }
         let buffered = self.input.capacity() + self.out.bytes.capacity();
         let buffered = (buffered + self.handler.held_bytes()).saturating_sub(UNRESERVED_BYTES);
--- a/crates/driver/tests/transport.rs
+++ b/crates/driver/tests/transport.rs
@@ -95,17 +95,19 @@
     drop((outbound, inbound));
 }
 
-/// Keeps all input, and reports the memory that it takes.
-struct InputKeeper;
+/// Passes all input to a function with the events that it may report.
+struct InputHandler<E>(Box<OnInput<E>>);
 
-impl ConnectionHandler for InputKeeper {
+type OnInput<E> = dyn FnMut(&mut Vec<u8>, &mut Vec<E>) + Send;
+
+impl<E: Send + 'static> ConnectionHandler for InputHandler<E> {
     type Command = ();
-    type Event = usize;
-    fn on_input(&mut self, input: &mut Vec<u8>, _at: Timestamp, out: &mut ConnectionOutput<usize>) {
-        out.events.push(input.capacity());
+    type Event = E;
+    fn on_input(&mut self, input: &mut Vec<u8>, _at: Timestamp, out: &mut ConnectionOutput<E>) {
+        (self.0)(input, &mut out.events);
     }
-    fn on_command(&mut self, _command: (), _at: Timestamp, _out: &mut ConnectionOutput<usize>) {}
-    fn on_closed(&mut self, _at: Timestamp, _out: &mut ConnectionOutput<usize>) {}
+    fn on_command(&mut self, _command: (), _at: Timestamp, _out: &mut ConnectionOutput<E>) {}
+    fn on_closed(&mut self, _at: Timestamp, _out: &mut ConnectionOutput<E>) {}
     fn wants_input(&self, _unused: usize) -> bool {
         true
     }
@@ -122,7 +124,9 @@
     let (queue, events) = channel();
     let budget = MemoryBudget::new(1 << 20);
     let context = (Clock::start(), &budget);
-    let _handle = dial(address, InputKeeper, &queue, context).expect("open a connection");
+    let keep_input = |input: &mut Vec<u8>, events: &mut Vec<usize>| events.push(input.capacity());
+    let handler = InputHandler(Box::new(keep_input));
+    let _handle = dial(address, handler, &queue, context).expect("open a connection");
     let (mut peer, _) = listener.accept().expect("accept a connection");
     let mut previous_capacity = 0;
     for parts in 1..200 {
@@ -140,60 +144,31 @@
     }
 }
 
-/// Event of [`SlowReader`] and of the connection that competes with it.
+/// Event of a connection that takes long for each read, and of the one that competes with it.
 #[derive(Debug, PartialEq)]
 enum Turn {
-    /// The slow reader has handled this read, and written a byte to the other connection before if it says so.
+    /// A read was handled. If it says so, a byte was written to the other connection before.
     Slow { wrote_to_other: bool },
-    /// The other connection has received its byte.
+    /// The other connection has received a byte.
     Other,
 }
 
-/// Takes long for each read. Writes a byte to another connection from time to time.
-struct SlowReader {
-    reads: u32,
-    to_other: TcpStream,
-}
+const READS_PER_BYTE: u32 = 40;
 
-impl SlowReader {
-    const READS_PER_BYTE: u32 = 40;
-}
-
-impl ConnectionHandler for SlowReader {
-    type Command = ();
-    type Event = Turn;
-    fn on_input(&mut self, input: &mut Vec<u8>, _at: Timestamp, out: &mut ConnectionOutput<Turn>) {
+/// Takes long for each read, and writes a byte to another connection from time to time.
+fn slow_reader(mut to_other: TcpStream) -> InputHandler<Turn> {
+    let mut reads = 0u32;
+    InputHandler(Box::new(move |input, events| {
         input.clear();
-        self.reads += 1;
-        let wrote_to_other = self.reads.is_multiple_of(SlowReader::READS_PER_BYTE);
+        reads += 1;
+        let wrote_to_other = reads.is_multiple_of(READS_PER_BYTE);
         if wrote_to_other {
-            self.to_other.write_all(b"x").expect("write a byte");
+            to_other.write_all(b"x").expect("write a byte");
         }
         let started_at = Instant::now();
         while started_at.elapsed() < Duration::from_millis(2) {}
-        out.events.push(Turn::Slow { wrote_to_other });
-    }
-    fn on_command(&mut self, _command: (), _at: Timestamp, _out: &mut ConnectionOutput<Turn>) {}
-    fn on_closed(&mut self, _at: Timestamp, _out: &mut ConnectionOutput<Turn>) {}
-    fn wants_input(&self, _unused: usize) -> bool {
-        true
-    }
-}
-
-/// Reports each byte.
-struct OtherReader;
-
-impl ConnectionHandler for OtherReader {
-    type Command = ();
-    type Event = Turn;
-    fn on_input(&mut self, input: &mut Vec<u8>, _at: Timestamp, out: &mut ConnectionOutput<Turn>) {
-        out.events.extend(input.drain(..).map(|_| Turn::Other));
-    }
-    fn on_command(&mut self, _command: (), _at: Timestamp, _out: &mut ConnectionOutput<Turn>) {}
-    fn on_closed(&mut self, _at: Timestamp, _out: &mut ConnectionOutput<Turn>) {}
-    fn wants_input(&self, _unused: usize) -> bool {
-        true
-    }
+        events.push(Turn::Slow { wrote_to_other });
+    }))
 }
 
 /// Guards against late answers: a client that sent small requests without pause on one connection had 32 reads
@@ -206,10 +181,12 @@
     let address = listener.local_addr().expect("read the listener's address");
     let (queue, events) = channel::<Turn>();
     let context = (Clock::start(), &MemoryBudget::new(1 << 20));
-    let _other = dial(address, OtherReader, &queue, context).expect("open a connection");
+    let report_bytes =
+        |input: &mut Vec<u8>, events: &mut Vec<Turn>| events.extend(input.drain(..).map(|_| Turn::Other));
+    let other = InputHandler(Box::new(report_bytes));
+    let _other = dial(address, other, &queue, context).expect("open a connection");
     let (to_other, _) = listener.accept().expect("accept a connection");
-    let slow_reader = SlowReader { reads: 0, to_other };
-    let _slow = dial(address, slow_reader, &queue, context).expect("open a connection");
+    let _slow = dial(address, slow_reader(to_other), &queue, context).expect("open a connection");
     let (mut peer, _) = listener.accept().expect("accept a connection");
     std::thread::spawn(move || while peer.write_all(&[b'x'; 64 * 1024]).is_ok() {});
     let next = || {
--- a/crates/handover/src/learned_fact.rs
+++ b/crates/handover/src/learned_fact.rs
@@ -1,7 +1,7 @@
 //! Facts that one of two processes of a service learns while both may serve, and that the other one needs.
 //!
-//! The predecessor tells its facts in [`CoServingMessage`](crate::co_serving::CoServingMessage)s, ahead of the
-//! clients that it moves. The successor tells them in the I/O journal, before it acts on them, so that they
+//! The predecessor sends its facts in [`CoServingMessage`](crate::co_serving::CoServingMessage)s, ahead of the
+//! clients that it moves. The successor records them in the I/O journal before it acts on them, so that they
 //! outlive it.
 
 use serde::{Deserialize, Serialize};
