Test bed: a rejection ends a statement, not the client's delay behind it

The report named neither the statements nor the delays of the drivers.

Cause, as far as it is known: drivers reject reads that a hanging member keeps 10 ms before their timeout of 600 ms, and a rejection is late from 650 ms on. The client's record took the time after the 20 ms that a client waits behind a rejection as the time of the answer. The record now ends with its last attempt, as its field says; the bound is the same.

The report now has the first statement behind each broken rule with all its attempts, and the longest turn and the latest wake-up among the drivers, which it had added up before.

record_of_rejected_statement_ends_with_its_last_attempt fails on the code before by 20.1 ms.

--- a/crates/testbed/src/cluster/driver_faults.rs
+++ b/crates/testbed/src/cluster/driver_faults.rs
@@ -56,6 +56,9 @@
     steps
 }
 
+/// Counters of a driver that state a maximum.
+const MAXIMUM_COUNTERS: [&str; 3] = ["queue_longest", "wake_up_latest_us", "turn_longest_us"];
+
 impl Cluster {
     fn signal(&self, number: u32, name: &str) {
         if let Some(child) = &self.processes[number as usize - 1].child {
@@ -153,7 +156,8 @@
         self.await_serving(driver)
     }
 
-    /// Terminates all drivers; returns the sums of the counters in their last logs.
+    /// Terminates all drivers; returns the counters in their last logs, added up over the drivers but for
+    /// those that are maxima.
     pub(super) fn terminate(&mut self) -> BTreeMap<String, u64> {
         for process in &self.processes {
             self.signal(process.number, "CONT");
@@ -171,9 +175,15 @@
                 let count = pair
                     .split_once('=')
                     .and_then(|(name, value)| Some((name, value.parse::<u64>().ok()?)));
-                if let Some((name, count)) = count {
-                    *counters.entry(name.to_owned()).or_default() += count;
-                }
+                let Some((name, count)) = count else {
+                    continue;
+                };
+                let total = counters.entry(name.to_owned()).or_default();
+                *total = if MAXIMUM_COUNTERS.contains(&name) {
+                    count.max(*total)
+                } else {
+                    count + *total
+                };
             }
         }
         counters
--- a/crates/testbed/src/cluster/evaluate.rs
+++ b/crates/testbed/src/cluster/evaluate.rs
@@ -38,6 +38,7 @@
     }
     let report = check(&store, &checkable);
     add_violations(&report, &store, run);
+    run.notes.extend(examples(&report, &store, records));
     for record in records {
         count_retry(&store, record, &mut run.retries);
     }
@@ -88,6 +89,31 @@
     }
 }
 
+/// For each broken rule, the first statement that broke it with all its attempts, one line each.
+fn examples(report: &CheckReport, store: &StoreModel, records: &[RoamingRecord]) -> Vec<String> {
+    let example = |(rule, id): (&usize, &u64)| {
+        let roaming = records.iter().find(|roaming| roaming.record.id == *id)?;
+        let workload = &store.workloads[roaming.record.workload];
+        let due = roaming.record.due;
+        let attempts: Vec<String> = roaming
+            .attempts
+            .iter()
+            .map(|a| {
+                let (sent, ended) = ((a.sent - due).0, (a.ended - due).0);
+                format!("driver {}: {sent} to {ended} us, {:?}", a.driver, a.outcome)
+            })
+            .collect();
+        Some(format!(
+            "example of '{}': id {id}, {}, {} us from due time to end; attempts from due time: {}",
+            VIOLATIONS[*rule],
+            workload.name,
+            (roaming.record.answered - due).0,
+            attempts.join("; ")
+        ))
+    };
+    report.first_by_rule.iter().filter_map(example).collect()
+}
+
 /// Counts a non-idempotent write if it was retried after an attempt without an answer.
 fn count_retry(store: &StoreModel, roaming: &RoamingRecord, retries: &mut RetryCounts) {
     let kind = store.workloads[roaming.record.workload].kind;
--- a/crates/testbed/src/cluster/report.rs
+++ b/crates/testbed/src/cluster/report.rs
@@ -49,7 +49,7 @@
     pub convergence_seconds: Option<f64>,
     /// Processor time of the drivers that ran at the end.
     pub cpu_seconds: f64,
-    /// Counters, summed over the drivers' last logs.
+    /// Counters in the drivers' last logs, added up over the drivers but for those that are maxima.
     pub counters: BTreeMap<String, u64>,
     /// Measurements of additional clients and of the scenario, one line each.
     pub notes: Vec<String>,
@@ -60,7 +60,7 @@
 }
 
 impl RunReport {
-    /// A counter, summed over the drivers' last logs.
+    /// A counter of [`counters`](Self::counters).
     pub fn counter(&self, name: &str) -> u64 {
         self.counters.get(name).copied().unwrap_or(0)
     }
@@ -104,7 +104,8 @@
         writeln!(
             f,
             "connections opened {} (first {}, busy {}, again {}), \
-             health checks {}, for the fleet {}, left to peers {}, members unresponsive by consensus {}",
+             health checks {}, for the fleet {}, left to peers {}, members unresponsive by consensus {}; \
+             longest turn of an event loop {} us, latest wake-up {} us",
             count("connections_opened"),
             count("opened_first"),
             count("opened_busy"),
@@ -112,7 +113,9 @@
             count("health_checks_sent"),
             count("health_checks_for_fleet"),
             count("health_checks_left_to_peers"),
-            count("unresponsive_by_consensus")
+            count("unresponsive_by_consensus"),
+            count("turn_longest_us"),
+            count("wake_up_latest_us")
         )
     }
 }
--- a/crates/testbed/src/roaming_clients.rs
+++ b/crates/testbed/src/roaming_clients.rs
@@ -200,7 +200,10 @@
             }
             driver = (driver + 1 + self.rng.usize(0..driver_count)) % driver_count;
         }
-        record.answered = wall_clock_now();
+        // Not the time behind the delay that follows a rejection.
+        record.answered = attempts
+            .last()
+            .map_or_else(wall_clock_now, |attempt| attempt.ended);
         RoamingRecord { record, attempts }
     }
 
--- a/crates/testbed/tests/models/main.rs
+++ b/crates/testbed/tests/models/main.rs
@@ -1,9 +1,10 @@
-//! Tests of the modules without I/O: fault scripts, the store model, arrivals, the checker and the wire
-//! format.
+//! Tests of the modules without I/O (fault scripts, the store model, arrivals, the checker and the wire
+//! format) and of the clients' records.
 
 mod arrivals;
 mod checker;
 mod fault_script;
+mod roaming_clients;
 mod store_model;
 mod wire;
 
