Both processes of an upgrade know the positions of sessions' writes

Cause: the position was learned by the process that got the member's answer alone. To the other one the session had no write, and any replica covers its reads.

A write of unknown position goes along with the state. The queues of facts on both sides are one type, FactQueue; where it is full, waiting writes become one of any session, so that none is forgotten.

--- a/crates/driver/src/program/upgrade/retained_clients.rs
+++ b/crates/driver/src/program/upgrade/retained_clients.rs
@@ -12,7 +12,7 @@
 };
 use asterlatch_handover::learned_fact::LearnedFact;
 use asterlatch_handover::message::ClientState;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::os::fd::OwnedFd;
@@ -117,7 +117,7 @@
     /// Clients that this process can resume.
     pub(super) clients: Vec<TransferredClient>,
     /// What the successor has learned.
-    pub(super) facts: VecDeque<LearnedFact>,
+    pub(super) facts: Vec<LearnedFact>,
     /// Number of clients that were disconnected, since no consistent answer to them is possible.
     pub(super) disconnected: u64,
     /// Why no client can be resumed, if the journal is incomplete; for the log.
@@ -173,7 +173,7 @@
     }
 
     /// Takes the facts that the successor has journaled since the last call.
-    pub(super) fn take_facts(&self) -> VecDeque<LearnedFact> {
+    pub(super) fn take_facts(&self) -> Vec<LearnedFact> {
         let mut table = self.table();
         table
             .replay
--- a/crates/driver/src/routing/dispatch_records.rs
+++ b/crates/driver/src/routing/dispatch_records.rs
@@ -89,19 +89,14 @@
         }
     }
 
-    /// Applies what another process of this driver has learned.
-    pub fn learn(&mut self, now: Timestamp, fact: &LearnedFact) {
-        match fact {
-            LearnedFact::Dispatched {
-                client_id,
-                member,
-                at,
-            } => {
-                let at = Timestamp(*at);
-                self.log.on_dispatch_elsewhere(now, *client_id, member, at);
-            }
-            LearnedFact::NotExecuted { client_id } => self.log.on_not_executed(*client_id),
-        }
+    /// Records a dispatch by another process of this driver.
+    pub fn on_dispatched_elsewhere(&mut self, now: Timestamp, client_id: u64, member: &str, at: Timestamp) {
+        self.log.on_dispatch_elsewhere(now, client_id, member, at);
+    }
+
+    /// Records that an execution by another process of this driver has not happened.
+    pub fn on_not_executed(&mut self, client_id: u64) {
+        self.log.on_not_executed(client_id);
     }
 
     /// All records, for another process of this driver.
--- a/crates/driver/src/routing/event_loop/actions.rs
+++ b/crates/driver/src/routing/event_loop/actions.rs
@@ -91,6 +91,7 @@
         outcome: ExecutionOutcome,
         status: ReplicaStatus,
     ) {
+        self.share_session_write(&request, outcome, &status);
         self.ended_requests.push_back(EndedRequest {
             latency: ended_at - request.started_at,
             request,
--- a/crates/driver/src/routing/event_loop/peer_process.rs
+++ b/crates/driver/src/routing/event_loop/peer_process.rs
@@ -4,11 +4,11 @@
 use super::{EventLoop, Logger};
 use crate::protocol::replica_status;
 use crate::routing::handover::{CoServing, DrainedMember, TransferredClient, TransferredConnection};
-use crate::routing::member_requests::AdoptedConnection;
+use crate::routing::member_requests::{AdoptedConnection, MemberRequest, RequestKind};
 use crate::routing::members::MemberDirectory;
-use asterlatch::interface::{Actions, MemberUpdate, Settings};
-use asterlatch::policy::RoutingPolicy;
-use asterlatch::time::Timestamp;
+use asterlatch::interface::{Actions, ExecutionOutcome, MemberUpdate, ReplicaStatus, Settings};
+use asterlatch::policy::{definitely_not_executed, RoutingPolicy};
+use asterlatch::time::{RemoteTimestamp, Timestamp};
 use asterlatch_handover::co_serving::CoServingMessage;
 use asterlatch_handover::io_journal::JournalRecord;
 use asterlatch_handover::learned_fact::LearnedFact;
@@ -48,7 +48,7 @@
         self.members = state.members;
         self.journals_facts = state.facts.is_some();
         for fact in state.facts.unwrap_or_default() {
-            self.dispatch_records.learn(now, &fact);
+            self.apply_fact(now, &fact);
         }
         self.policy_wakes_at = Some(now);
         self.discovery_requests.resume(now);
@@ -116,14 +116,59 @@
     /// Applies a fact that the peer process has learned.
     pub fn learn_fact(&mut self, now: Timestamp, fact: &LearnedFact) {
         self.metrics.facts_from_peer_process += 1;
-        self.dispatch_records.learn(now, fact);
+        self.apply_fact(now, fact);
+    }
+
+    fn apply_fact(&mut self, now: Timestamp, fact: &LearnedFact) {
+        match fact {
+            LearnedFact::Dispatched {
+                client_id,
+                member,
+                at,
+            } => self
+                .dispatch_records
+                .on_dispatched_elsewhere(now, *client_id, member, Timestamp(*at)),
+            LearnedFact::NotExecuted { client_id } => self.dispatch_records.on_not_executed(*client_id),
+            LearnedFact::SessionWrite { session, position } => {
+                let position = position.map(RemoteTimestamp);
+                self.policy.on_session_write(now, *session, position);
+            }
+        }
     }
 
-    /// Facts for a peer process that is about to start. Those that are learned from now on are kept for
-    /// [`EventLoop::take_learned_facts`].
+    /// Facts for a peer process that is about to start, beside the policy's state. Those that are learned from now
+    /// on are kept for [`EventLoop::take_learned_facts`].
     pub fn begin_recording_facts(&mut self) -> Vec<LearnedFact> {
         self.handover.begin_recording_facts();
-        self.dispatch_records.to_facts()
+        let mut facts = self.dispatch_records.to_facts();
+        if self.policy.has_unpositioned_write() {
+            facts.push(LearnedFact::SessionWrite {
+                session: None,
+                position: None,
+            });
+        }
+        facts
+    }
+
+    /// Shares a session's write that has ended; to be called before its client gets the answer.
+    pub(super) fn share_session_write(
+        &mut self,
+        request: &MemberRequest,
+        outcome: ExecutionOutcome,
+        status: &ReplicaStatus,
+    ) {
+        let RequestKind::Execution(id) = request.kind else {
+            return;
+        };
+        if definitely_not_executed(outcome) {
+            return;
+        }
+        if let Some(session) = self.policy.session_of_write(id.statement, id.attempt) {
+            self.share_fact(LearnedFact::SessionWrite {
+                session: Some(session),
+                position: status.position.map(|position| position.0),
+            });
+        }
     }
 
     /// Takes the facts learned since the last call, for the peer process.
--- a/crates/driver/src/routing/handover.rs
+++ b/crates/driver/src/routing/handover.rs
@@ -3,10 +3,10 @@
 use crate::protocol::client_events::{ClientCommand, ClientTransferState};
 use crate::protocol::member_connection::MemberCommand;
 use crate::transport::connection::ConnectionHandle;
-use asterlatch_handover::io_journal::{StatementVerdict, StatementVerdicts, MAX_FACTS};
-use asterlatch_handover::learned_fact::LearnedFact;
+use asterlatch_handover::io_journal::{StatementVerdict, StatementVerdicts};
+use asterlatch_handover::learned_fact::{FactQueue, LearnedFact};
 use asterlatch_handover::message::ClientState;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::TcpStream;
 
@@ -102,7 +102,7 @@
     co_serving: CoServing,
     drained_members: Vec<DrainedMember>,
     /// What this process has learned and not told its successor; `None` while there is none.
-    learned_facts: Option<VecDeque<LearnedFact>>,
+    learned_facts: Option<FactQueue>,
     clients: Vec<TransferredClient>,
     connections: Vec<TransferredConnection>,
     /// Verdicts on statements of clients reclaimed from a crashed process.
@@ -158,24 +158,20 @@
 
     /// Starts to record facts for a successor.
     pub fn begin_recording_facts(&mut self) {
-        self.learned_facts = Some(VecDeque::new());
+        self.learned_facts = Some(FactQueue::default());
     }
 
     /// Records a fact for the successor, if one is about to start or serves.
     pub fn add_learned_fact(&mut self, fact: LearnedFact) {
-        let Some(facts) = &mut self.learned_facts else {
-            return;
-        };
-        facts.push_back(fact);
-        if facts.len() > MAX_FACTS {
-            facts.pop_front();
+        if let Some(facts) = &mut self.learned_facts {
+            facts.push(fact);
         }
     }
 
     /// Takes the facts recorded since the last call.
     pub fn take_learned_facts(&mut self) -> Vec<LearnedFact> {
-        let facts = self.learned_facts.as_mut().map(std::mem::take);
-        facts.unwrap_or_default().into()
+        let facts = self.learned_facts.as_mut().map(FactQueue::take);
+        facts.unwrap_or_default()
     }
 
     /// Records a client whose connection is to be transferred.
--- a/crates/driver/tests/harness/mod.rs
+++ b/crates/driver/tests/harness/mod.rs
@@ -14,10 +14,11 @@
 /// Bounds each wait of a test, so that a failing test ends. Passing tests never wait for it to elapse.
 pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+use asterlatch::time::{TimeSpan, Timestamp};
 use asterlatch_fault_injection::FaultPlan;
 use asterlatch_testbed::program_under_test::inject_faults;
 pub(crate) use asterlatch_testbed::wire::message;
-use asterlatch_testbed::wire::{self, data_row, parameter_status};
+use asterlatch_testbed::wire::{self, data_row, parameter_status, wall_clock_now};
 
 pub(crate) fn read_message(stream: &mut TcpStream) -> Option<(u8, Vec<u8>)> {
     wire::read_message(stream, true).ok()
@@ -83,7 +84,34 @@
     }
 }
 
+/// Role of a fake member in its group, and how far its data is behind; `None` if its answers don't say.
+#[derive(Clone, Copy)]
+pub(crate) struct MemberRole {
+    pub(crate) rank: &'static str,
+    pub(crate) lag: Option<TimeSpan>,
+}
+
+impl MemberRole {
+    /// The parameters that end an answer.
+    fn parameters(self) -> Vec<u8> {
+        let rank = parameter_status("rank", self.rank);
+        let position = self
+            .lag
+            .map(|lag| ((wall_clock_now() - Timestamp(lag.0)).0 / 1000).to_string());
+        let position = position.map(|position| parameter_status("as_of", &position));
+        [position.unwrap_or_default(), rank].concat()
+    }
+}
+
 pub(crate) fn start_member(behavior: MemberBehavior) -> Member {
+    let primary = MemberRole {
+        rank: "source",
+        lag: None,
+    };
+    start_member_with_role(behavior, primary)
+}
+
+pub(crate) fn start_member_with_role(behavior: MemberBehavior, role: MemberRole) -> Member {
     let (listener, address) = bind_listener();
     let (event_sender, events) = channel();
     let (release, released) = channel();
@@ -91,7 +119,7 @@
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (event_sender, released) = (event_sender.clone(), released.clone());
-            thread::spawn(move || serve_connection(stream, behavior, &event_sender, &released));
+            thread::spawn(move || serve_connection(stream, behavior, role, &event_sender, &released));
         }
     });
     Member {
@@ -104,6 +132,7 @@
 pub(crate) fn serve_connection(
     mut stream: TcpStream,
     behavior: MemberBehavior,
+    role: MemberRole,
     event_sender: &Sender<String>,
     released: &Mutex<Receiver<()>>,
 ) -> Option<()> {
@@ -142,8 +171,7 @@
                 }
             }
         }
-        let rank = parameter_status("rank", "source");
-        let answer = [data_row(value), rank, ready.clone()];
+        let answer = [data_row(value), role.parameters(), ready.clone()];
         stream.write_all(&answer.concat()).ok()?;
     }
 }
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -1,6 +1,7 @@
 //! Upgrades of the running driver: handover to a successor, and successors that fail.
 
 mod harness;
+use asterlatch::time::TimeSpan;
 use asterlatch_fault_injection::FaultPlan;
 use harness::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -621,6 +622,83 @@
     }
 }
 
+/// A configuration with a replica and with reads that must see their session's writes.
+fn session_config(primary: &Member, replica: &Member) -> String {
+    let replica = format!(
+        r#"{{"name":"r","address":"{}","zone":"a","group":1,"status":"SERVING","weight":1.0,"since_ms":0,"rank":"copy"}}"#,
+        replica.address
+    );
+    config_text(unused_address(), unresponsive_discovery(), primary.address)
+        .replacen(
+            r#""rank":"source"}"#,
+            &format!(r#""rank":"source"}},{replica}"#),
+            1,
+        )
+        .replacen(r#""name":"view""#, r#""name":"own""#, 1)
+        .replacen(
+            r#"["loose","update"]"#,
+            r#"["own_writes","update"],"tokens":"router","answers_stamped":true"#,
+            1,
+        )
+}
+
+fn send_for_session(client: &mut TcpStream, workload: &str, id: u32, session: u32) {
+    let text = format!(
+        "/* id={id:x},c={workload},d=25000,cluster=1 */ SELECT blob FROM rows WHERE handle = '{session}'\0"
+    );
+    client.write_all(&message(b'Q', text.as_bytes())).expect("send");
+}
+
+/// Guards against reads that miss a write of their session: the other process of the upgrade had answered it after the
+/// state was sent, or had died after its answer.
+#[test]
+fn handover_session_reads_see_writes_that_either_process_answered() {
+    let role = |rank, lag| MemberRole {
+        rank,
+        lag: Some(TimeSpan::millis(lag)),
+    };
+    let primary = start_member_with_role(MemberBehavior::AnswerOnRelease, role("source", 0));
+    let replica = start_member_with_role(MemberBehavior::Answer, role("copy", 60_000));
+    let config = session_config(&primary, &replica);
+    let mut harness = UpgradeHarness::with_config("session-writes", &config, HANDOVER_SETTINGS);
+    let predecessor = harness.driver.process.child.id();
+    harness.set_long_probation(predecessor);
+    let mut client = harness.driver.process.connect();
+    let await_answer_of_primary = |client: &mut TcpStream, id: u32| {
+        let statement = format!("id={id:x},");
+        while !primary.next_event().contains(&statement) {}
+        primary.release.send(()).expect("release the statement");
+        assert_eq!(read_answer(client).0, "T D C Z", "{id}");
+    };
+    // Reads of a session without writes go to the replica.
+    send_for_session(&mut client, "own", 1, 7);
+    assert_eq!(read_answer(&mut client).0, "T D C Z");
+    assert!(replica.next_event().contains("id=1,"));
+    send_for_session(&mut client, "post", 2, 7);
+    let (successor, _upgrade_request) = harness.begin_upgrade();
+    harness.pid = Some(successor);
+    harness.await_client_moves(successor);
+    await_answer_of_primary(&mut client, 2);
+    harness.wait_for_counter(predecessor, "open_clients=0 ");
+    send_for_session(&mut client, "own", 3, 7);
+    await_answer_of_primary(&mut client, 3);
+    send_for_session(&mut client, "post", 4, 8);
+    await_answer_of_primary(&mut client, 4);
+    harness.signal(successor, "KILL");
+    harness.pid = Some(predecessor);
+    let failure = "upgrade: failed, this process continues to serve: the new process ended";
+    harness.driver.wait_for_log(failure);
+    send_for_session(&mut client, "own", 6, 9);
+    assert_eq!(read_answer(&mut client).0, "T D C Z");
+    assert!(replica.next_event().contains("id=6,"));
+    send_for_session(&mut client, "own", 5, 8);
+    await_answer_of_primary(&mut client, 5);
+    assert!(
+        replica.events.try_recv().is_err(),
+        "the replica has none of these writes"
+    );
+}
+
 /// If the successor dies on probation, the predecessor reclaims its clients, and answers its open statements
 /// with errors that match what may have been executed.
 #[test]
--- a/crates/handover/src/io_journal/mod.rs
+++ b/crates/handover/src/io_journal/mod.rs
@@ -13,7 +13,7 @@
 mod verdict;
 
 pub use client_replay::{ClientRecovery, SocketByteCounts};
-pub use replay::{ConnectionKey, JournalReplay, RecoveredClient, ReplayError, ReplayUsage, MAX_FACTS};
+pub use replay::{ConnectionKey, JournalReplay, RecoveredClient, ReplayError, ReplayUsage};
 pub use verdict::{StatementVerdict, StatementVerdicts};
 
 use crate::codec::Framed;
--- a/crates/handover/src/io_journal/replay.rs
+++ b/crates/handover/src/io_journal/replay.rs
@@ -4,9 +4,9 @@
     transfer_memory, AnnouncedWrite, ClientRecovery, ClientReplay, SocketByteCounts, CLIENT_OVERHEAD_BYTES,
 };
 use super::JournalRecord;
-use crate::learned_fact::LearnedFact;
+use crate::learned_fact::{FactQueue, LearnedFact};
 use crate::message::ClientState;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use thiserror::Error;
 
 /// Why the replay of a journal can't continue. Its clients can't be recovered from then on.
@@ -20,9 +20,6 @@
     Inconsistent,
 }
 
-/// Maximum number of facts that a replay keeps.
-pub const MAX_FACTS: usize = 16_384;
-
 /// Identifies the connection of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ConnectionKey {
@@ -57,7 +54,7 @@
     transfers: BTreeMap<u64, ClientState>,
     clients: BTreeMap<u32, ClientReplay>,
     /// The latest facts, in order.
-    facts: VecDeque<LearnedFact>,
+    facts: FactQueue,
     /// Memory counted for all clients, and its limit, in bytes.
     memory_used: usize,
     memory_limit: usize,
@@ -106,7 +103,7 @@
             JournalRecord::Accepted { client } => self.on_accepted(client),
             JournalRecord::Adopted { client, transfer_id } => self.on_adopted(client, transfer_id)?,
             JournalRecord::Closed { client } => self.on_closed(client),
-            JournalRecord::Learned(fact) => self.on_learned(fact),
+            JournalRecord::Learned(fact) => self.facts.push(fact),
             JournalRecord::Read {
                 client,
                 written_to,
@@ -137,16 +134,9 @@
         self.check_memory()
     }
 
-    fn on_learned(&mut self, fact: LearnedFact) {
-        self.facts.push_back(fact);
-        if self.facts.len() > MAX_FACTS {
-            self.facts.pop_front();
-        }
-    }
-
-    /// Takes the facts that the successor has learned, in order. Beyond [`MAX_FACTS`] the oldest are missing.
-    pub fn take_facts(&mut self) -> VecDeque<LearnedFact> {
-        std::mem::take(&mut self.facts)
+    /// Takes the facts that the successor has learned, in order.
+    pub fn take_facts(&mut self) -> Vec<LearnedFact> {
+        self.facts.take()
     }
 
     fn on_accepted(&mut self, client: u32) {
--- a/crates/handover/src/learned_fact.rs
+++ b/crates/handover/src/learned_fact.rs
@@ -5,6 +5,7 @@
 //! outlive it.
 
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
 
 /// A fact. The encoding is positional. Times are those of the service's clock, which both processes share, in
 /// microseconds.
@@ -24,4 +25,61 @@
         /// Hash of the id that its client gave it.
         client_id: u64,
     },
+    /// A write of a session has ended and may have been executed. Told before its client gets the answer.
+    SessionWrite {
+        /// Hash of the session; `None` stands for any session.
+        session: Option<u64>,
+        /// Log position of the write; `None` if it was not reported, so that it is by the time at which the fact is
+        /// learned.
+        position: Option<u64>,
+    },
+}
+
+/// Maximum number of facts that a process keeps for the other one.
+pub const MAX_FACTS: usize = 16_384;
+
+/// Facts in the order in which they were learned.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct FactQueue(VecDeque<LearnedFact>);
+
+impl FactQueue {
+    /// Adds a fact. Beyond [`MAX_FACTS`] all writes of sessions become one of any session, or else the oldest fact is
+    /// dropped.
+    pub fn push(&mut self, fact: LearnedFact) {
+        self.0.push_back(fact);
+        if self.0.len() > MAX_FACTS {
+            self.merge_session_writes();
+        }
+        if self.0.len() > MAX_FACTS {
+            let is_write = |fact: &LearnedFact| matches!(fact, LearnedFact::SessionWrite { .. });
+            let oldest = self.0.iter().position(|fact| !is_write(fact));
+            oldest.and_then(|index| self.0.remove(index));
+        }
+    }
+
+    /// Replaces all writes of sessions by one of any session, at the newest of their positions.
+    fn merge_session_writes(&mut self) {
+        let mut merged: Option<Option<u64>> = None;
+        self.0.retain(|fact| {
+            let LearnedFact::SessionWrite { position, .. } = fact else {
+                return true;
+            };
+            merged = Some(match merged {
+                Some(newest) => newest
+                    .zip(*position)
+                    .map(|(newest, position)| newest.max(position)),
+                None => *position,
+            });
+            false
+        });
+        if let Some(position) = merged {
+            let session = None;
+            self.0.push_back(LearnedFact::SessionWrite { session, position });
+        }
+    }
+
+    /// Takes all facts, the oldest first.
+    pub fn take(&mut self) -> Vec<LearnedFact> {
+        std::mem::take(&mut self.0).into()
+    }
 }
--- a/crates/handover/tests/co_serving.rs
+++ b/crates/handover/tests/co_serving.rs
@@ -2,6 +2,7 @@
 //! end, and against a queue that grows while the peer hangs.
 
 use asterlatch_handover::co_serving::{CoServingMessage, CoServingState, InFlightCounts};
+use asterlatch_handover::learned_fact::{FactQueue, LearnedFact, MAX_FACTS};
 
 fn counts(list: &[(&str, u32)]) -> InFlightCounts {
     let counts = list.iter().map(|(member, count)| ((*member).to_owned(), *count));
@@ -77,3 +78,34 @@
         "the peer sent it and knows of it"
     );
 }
+
+/// Guards against a session's write that is forgotten while the peer process isn't told: its reads would be stale.
+#[test]
+fn fact_queue_full_merges_session_writes_and_drops_the_oldest_id() {
+    let dispatched = |client_id| LearnedFact::NotExecuted { client_id };
+    let write = |session, position| LearnedFact::SessionWrite { session, position };
+    let ids = 0..MAX_FACTS as u64 - 2;
+    // (positions of the writes of three sessions, position of the write that stands for them)
+    let cases = [
+        ([Some(5), Some(9), Some(7)], Some(9)),
+        ([Some(5), None, Some(7)], None),
+    ];
+    for (positions, merged) in cases {
+        let mut queue = FactQueue::default();
+        for (session, position) in (1..).zip(positions) {
+            queue.push(write(Some(session), position));
+        }
+        ids.clone().for_each(|id| queue.push(dispatched(id)));
+        let mut expected: Vec<LearnedFact> = ids.clone().map(dispatched).collect();
+        expected.push(write(None, merged));
+        assert_eq!(queue.take(), expected);
+        assert_eq!(queue.take(), []);
+    }
+    let mut queue = FactQueue::default();
+    queue.push(write(Some(1), Some(5)));
+    (0..MAX_FACTS as u64).for_each(|id| queue.push(dispatched(id)));
+    let facts = queue.take();
+    assert_eq!(facts.len(), MAX_FACTS);
+    assert_eq!(facts[0], dispatched(1));
+    assert!(facts.contains(&write(None, Some(5))));
+}
--- a/crates/handover/tests/fixtures.rs
+++ b/crates/handover/tests/fixtures.rs
@@ -94,6 +94,14 @@
             at: 1_010_000_000,
         },
         LearnedFact::NotExecuted { client_id: 7 },
+        LearnedFact::SessionWrite {
+            session: Some(1 << 50),
+            position: Some(1_796_549_526_001_062),
+        },
+        LearnedFact::SessionWrite {
+            session: None,
+            position: None,
+        },
     ]
 }
 
--- a/src/driver/learning.rs
+++ b/src/driver/learning.rs
@@ -45,24 +45,39 @@
         }
     }
 
-    /// Records the position of a session's write where statements do not carry it. A write whose position was
-    /// not reported, or whose answer was lost, is assumed to have committed by now. Until a remote time is
-    /// known for that, no replica counts as up to date for any session.
+    /// Records the position of a session's write where statements do not carry it.
     pub(crate) fn learn_commit(&mut self, execution: &InFlightExecution, end: &ExecutionEnd) {
-        let is_write = self.settings.workloads[execution.workload].freshness == Freshness::Write;
-        if !is_write || self.settings.carries_session_position || definitely_not_executed(end.outcome) {
-            return;
+        if self.is_tracked_write(execution) && !definitely_not_executed(end.outcome) {
+            self.record_write(self.now, Some(execution.session), end.status.position);
         }
-        let session = execution.session;
-        let committed_by = end.status.position.or(self.remote_clock.latest(self.now));
-        let Some(position) = committed_by else {
-            self.unpositioned_commit_at = Some(self.now);
+    }
+
+    /// Whether an execution is a write whose position this driver has to track for its session.
+    pub(crate) fn is_tracked_write(&self, execution: &InFlightExecution) -> bool {
+        let is_write = self.settings.workloads[execution.workload].freshness == Freshness::Write;
+        is_write && !self.settings.carries_session_position
+    }
+
+    /// Records a write of a session, or of any session if it is `None`. A write whose position was not reported,
+    /// or whose answer was lost, is assumed to have committed by `now`. Until a remote time is known for that, no
+    /// replica counts as up to date for any session.
+    pub(crate) fn record_write(
+        &mut self,
+        now: Timestamp,
+        session: Option<u64>,
+        position: Option<RemoteTimestamp>,
+    ) {
+        let Some(position) = position.or(self.remote_clock.latest(now)) else {
+            self.unpositioned_commit_at = Some(now);
             return;
         };
-        self.sessions.record(session, position, MAX_TRACKED_SESSIONS);
+        match session {
+            Some(session) => self.sessions.record(session, position, MAX_TRACKED_SESSIONS),
+            None => self.sessions.clamp_all(position, RemoteTimestamp(u64::MAX)),
+        }
         // Open reads of the session may be dispatched after the write and must see it too.
         for statement in self.statements.values_mut() {
-            if statement.session == session && session > 0 {
+            if statement.session > 0 && session.is_none_or(|session| session == statement.session) {
                 statement.required_position = statement.required_position.max(position);
             }
         }
--- a/src/driver/peer_updates.rs
+++ b/src/driver/peer_updates.rs
@@ -125,6 +125,29 @@
         self.preference.set_drivers(driver_key, peers)
     }
 
+    /// The session of a write in flight whose position a peer process needs to know.
+    pub fn session_of_write(&self, statement: u32, attempt: u8) -> Option<u64> {
+        let execution = self.in_flight.get(statement, attempt)?;
+        self.is_tracked_write(execution).then_some(execution.session)
+    }
+
+    /// Whether a write has committed at a position that is not known yet.
+    pub fn has_unpositioned_write(&self) -> bool {
+        self.unpositioned_commit_at.is_some()
+    }
+
+    /// Handles a peer process's report of a write that has ended, of a session or of any session if it is `None`.
+    /// Without a position it has committed by now. Takes effect on waiting reads with the next call.
+    pub fn on_session_write(
+        &mut self,
+        now: Timestamp,
+        session: Option<u64>,
+        position: Option<RemoteTimestamp>,
+    ) {
+        self.record_write(now, session, position);
+        self.changed_groups.extend(0..self.groups.len());
+    }
+
     /// Handles another driver's report of the position of a session's last write.
     pub fn on_session_position(&mut self, session: u64, position: RemoteTimestamp) {
         self.sessions.record(session, position, MAX_TRACKED_SESSIONS);
--- a/tests/clocks.rs
+++ b/tests/clocks.rs
@@ -288,20 +288,32 @@
     }
 }
 
-/// The commit time of a write whose answer was lost is unknown until the first evidence; until then no
-/// replica is known to include it.
+/// The commit time of a write whose answer was lost, here or at a peer process, is unknown until the first
+/// evidence; until then no replica is known to include it.
 #[test]
 fn on_execution_ended_commit_of_unknown_position_is_bounded_by_first_evidence() {
-    for offset in OFFSETS {
+    for (offset, is_own) in OFFSETS
+        .into_iter()
+        .flat_map(|offset| [(offset, true), (offset, false)])
+    {
         let mut driver = Driver::with_members(&with_tracked_sessions(), offset);
         driver.answer_health_check(999, 2, 990, false);
-        assert_eq!(driver.route(1000, WRITE), [1]);
-        driver.end_execution(1005, ConnectionLost, 1, ReplicaStatus::default());
+        if is_own {
+            assert_eq!(driver.route(1000, WRITE), [1]);
+            driver.end_execution(1005, ConnectionLost, 1, ReplicaStatus::default());
+        } else {
+            driver.policy.on_session_write(driver.at(1005), Some(9), None);
+        }
+        assert!(driver.policy.has_unpositioned_write());
         driver.answer_health_check(1006, 2, 1004, false);
         driver.answer_health_check(1006, 3, 1004, false);
         // The primary is back and provides the first upper bound.
         driver.answer_health_check(1010, 1, 1009, true);
-        assert_eq!(driver.route(1011, SESSION), [1], "{offset}: committed by 1005");
+        assert_eq!(
+            driver.route(1011, SESSION),
+            [1],
+            "{offset}, {is_own}: committed by 1005"
+        );
         driver.answer_health_check(1030, 2, 1025, false);
         assert_eq!(driver.route(1031, SESSION), [2], "{offset}");
     }
--- a/tests/member_updates.rs
+++ b/tests/member_updates.rs
@@ -92,33 +92,49 @@
 }
 
 #[test]
-fn on_session_position_session_read_sees_write_through_another_driver() {
+fn on_session_position_session_read_sees_write_through_another_driver_or_process() {
     let settings = settings_with(|settings| {
         settings.carries_session_position = false;
         settings.members_check_reads = false;
     });
-    let mut harness = new_harness(&settings, 2);
-    harness.answer_health_check(9_000, 1, 9_000, true);
-    harness.answer_health_check(9_000, 2, 8_990, false);
-    assert_eq!(
-        harness.route(9_001, SESSION),
-        [2],
-        "no write of the session is known"
-    );
-    harness.driver.on_session_position(9, remote_at(8_995));
-    assert_eq!(
-        harness.route(9_002, SESSION),
-        [1],
-        "the replica lags behind the write"
-    );
-    harness.answer_health_check(9_010, 2, 9_000, false);
-    assert_eq!(harness.route(9_011, SESSION), [2]);
-    harness.driver.on_session_position(9, remote_at(8_000));
-    assert_eq!(
-        harness.route(9_012, SESSION),
-        [2],
-        "an older position changes nothing"
-    );
+    type Report = fn(&mut Harness, u64);
+    let reports: [(&str, Report); 3] = [
+        ("another driver", |harness, position| {
+            harness.driver.on_session_position(9, remote_at(position));
+        }),
+        ("a peer process", |harness, position| {
+            let position = Some(remote_at(position));
+            harness.driver.on_session_write(at(9_001), Some(9), position);
+        }),
+        ("a peer process, for any session", |harness, position| {
+            let position = Some(remote_at(position));
+            harness.driver.on_session_write(at(9_001), None, position);
+        }),
+    ];
+    for (name, report) in reports {
+        let mut harness = new_harness(&settings, 2);
+        harness.answer_health_check(9_000, 1, 9_000, true);
+        harness.answer_health_check(9_000, 2, 8_990, false);
+        assert_eq!(
+            harness.route(9_001, SESSION),
+            [2],
+            "{name}: no write of the session is known"
+        );
+        report(&mut harness, 8_995);
+        assert_eq!(
+            harness.route(9_002, SESSION),
+            [1],
+            "{name}: the replica lags behind the write"
+        );
+        harness.answer_health_check(9_010, 2, 9_000, false);
+        assert_eq!(harness.route(9_011, SESSION), [2], "{name}");
+        report(&mut harness, 8_000);
+        assert_eq!(
+            harness.route(9_012, SESSION),
+            [2],
+            "{name}: an older position changes nothing"
+        );
+    }
 }
 
 #[test]
