A reload during an upgrade is made by both processes

Cause: the signalled process reloads alone, and the successor had read the files at its start. The other way round a reload by a successor that dies on probation was lost as well. Evidence: without the new fact the successor's counter `reloads` stays 0 in the new test.

A reload is a LearnedFact on the path that ids and session writes take.

handover_reload_of_either_process_reaches_both fails without the fact, and behind probation without the messages. The gap between the successor's start and the state is closed by reading; its order was not forced.

--- a/crates/driver/src/program/serve/control_loop.rs
+++ b/crates/driver/src/program/serve/control_loop.rs
@@ -69,6 +69,9 @@
         if self.advance_phases(event_loop, now) == Phase::Stopped {
             return None;
         }
+        if event_loop.has_control_events() {
+            return Some(now);
+        }
         let deadlines = [
             self.phases.next_at(now),
             self.operators.next_at(),
@@ -99,7 +102,11 @@
                 "cannot start: this process is on probation or shutting down"
             ),
             ControlEvent::ReportMetrics => report_metrics(event_loop, now),
-            ControlEvent::Reload => self.reload(event_loop, now),
+            ControlEvent::Reload => {
+                event_loop.share_reload();
+                self.reload(event_loop, now);
+            }
+            ControlEvent::ReloadForPeer => self.reload(event_loop, now),
             ControlEvent::WakeUp => {}
         }
     }
--- a/crates/driver/src/program/upgrade/predecessor.rs
+++ b/crates/driver/src/program/upgrade/predecessor.rs
@@ -204,7 +204,10 @@
     fn execute(&mut self, event_loop: &mut EventLoop<Log>, now: Timestamp, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::StartSuccessor => self.start_successor(),
+                Action::StartSuccessor => {
+                    event_loop.begin_recording_facts();
+                    self.start_successor();
+                }
                 Action::SendState => self.send_state(event_loop, now),
                 Action::Send(message) => self.send(message, Vec::new()),
                 Action::StartCoServing => {
@@ -249,7 +252,7 @@
     /// Sends state and descriptors. If either fails nothing is sent, and the successor's timeout ends the
     /// upgrade.
     fn send_state(&mut self, event_loop: &mut EventLoop<Log>, now: Timestamp) {
-        let facts = event_loop.begin_recording_facts();
+        let facts = event_loop.facts_beside_state();
         let state = match serialize(event_loop, &facts, now, self.settings_hash) {
             Ok(state) => state,
             Err(error) => {
@@ -327,6 +330,9 @@
         let text = self.progress_text(progress);
         log!(event_loop.logger, now, "upgrade", "{text}");
         reply(self.requester.as_ref(), &text);
+        if matches!(progress, Progress::Failed(_)) {
+            event_loop.end_recording_facts();
+        }
         if matches!(
             progress,
             Progress::Busy | Progress::Completed | Progress::Failed(_)
--- a/crates/driver/src/program/upgrade/retained_clients.rs
+++ b/crates/driver/src/program/upgrade/retained_clients.rs
@@ -10,7 +10,7 @@
     ClientRecovery, ConnectionKey, JournalRecord, JournalReplay, RecoveredClient, ReplayError,
     SocketByteCounts,
 };
-use asterlatch_handover::learned_fact::LearnedFact;
+use asterlatch_handover::learned_fact::{FactQueue, LearnedFact};
 use asterlatch_handover::message::ClientState;
 use std::collections::BTreeMap;
 use std::io;
@@ -44,6 +44,8 @@
     replay: Option<JournalReplay>,
     sockets: BTreeMap<ConnectionKey, RetainedSocket>,
     error: Option<ReplayError>,
+    /// Facts that the successor has journaled. They are kept where the state of the clients is not.
+    facts: FactQueue,
 }
 
 impl ClientTable {
@@ -78,6 +80,9 @@
     }
 
     fn apply(&mut self, record: JournalRecord, descriptor: Option<OwnedFd>) {
+        if let JournalRecord::Learned(fact) = record {
+            return self.facts.push(fact);
+        }
         let Some(replay) = &mut self.replay else { return };
         match record {
             JournalRecord::Accepted { client } => {
@@ -174,30 +179,31 @@
 
     /// Takes the facts that the successor has journaled since the last call.
     pub(super) fn take_facts(&self) -> Vec<LearnedFact> {
-        let mut table = self.table();
-        table
-            .replay
-            .as_mut()
-            .map(JournalReplay::take_facts)
-            .unwrap_or_default()
+        self.table().facts.take()
     }
 
-    /// Drops all clients, since the successor owns the service.
+    /// Drops all clients, since the successor owns the service. Facts that it journaled before are still read.
     pub(super) fn clear(&self) {
-        *self.table() = ClientTable::default();
+        let mut table = self.table();
+        let facts = std::mem::take(&mut table.facts);
+        *table = ClientTable {
+            facts,
+            ..ClientTable::default()
+        };
     }
 
     /// Reclaims the clients. The successor must have exited and its journal must be read to the end;
     /// `abandoned` is the event descriptor through which it reports that it stopped writing the journal.
     pub(super) fn reclaim(&self, abandoned: &OwnedFd) -> Reclaimed {
-        let table = std::mem::take(&mut *self.table());
-        let Some(mut replay) = table.replay else {
+        let mut table = std::mem::take(&mut *self.table());
+        let facts = table.facts.take();
+        let Some(replay) = table.replay else {
             return Reclaimed {
+                facts,
                 incomplete: table.error.map(|error| format!("{error:?}")),
                 ..Reclaimed::default()
             };
         };
-        let facts = replay.take_facts();
         if is_abandoned(abandoned) {
             return Reclaimed {
                 clients: Vec::new(),
--- a/crates/driver/src/program/upgrade/successor.rs
+++ b/crates/driver/src/program/upgrade/successor.rs
@@ -90,8 +90,6 @@
     /// `None` once the journal has ended.
     journal: Option<IoJournalWriter>,
     co_serving: CoServingState,
-    /// The predecessor sends learned facts and understands them.
-    predecessor_supports_facts: bool,
     started_at: Timestamp,
 }
 
@@ -124,7 +122,6 @@
             journal_descriptors: None,
             journal: None,
             co_serving: CoServingState::default(),
-            predecessor_supports_facts: false,
             started_at: monotonic_now(),
         }))
     }
@@ -141,7 +138,9 @@
                     Action::Send(message) => self.send(&message),
                     Action::LoadState(bytes) => match self.load_state(&bytes, config) {
                         Ok(resumed) => {
-                            self.predecessor_supports_facts = resumed.learned.facts.is_some();
+                            if resumed.learned.facts.is_some() {
+                                self.co_serving.set_peer_accepts_facts();
+                            }
                             return Ok(resumed);
                         }
                         Err(error) => {
@@ -213,7 +212,7 @@
     /// Announces that this process understands learned facts. Sent before the commit is acknowledged, and so before
     /// any client moves.
     fn announce_fact_support(&self) {
-        if self.predecessor_supports_facts {
+        if self.co_serving.peer_accepts_facts() {
             let messages = vec![CoServingMessage::AcceptsFacts];
             self.send(&HandoverMessage::CoServing(messages));
         }
@@ -265,6 +264,7 @@
         if self.state_machine.phase == successor::Phase::Serving {
             if let Some(journal) = self.journal.take() {
                 journal.stop();
+                self.share_facts_by_messages(event_loop);
             }
         }
     }
@@ -305,10 +305,18 @@
         log!(event_loop.logger, now, "upgrade", "the predecessor has exited");
     }
 
+    /// From the end of the journal on, a predecessor that still runs learns facts from co-serving messages.
+    fn share_facts_by_messages(&self, event_loop: &mut EventLoop<Log>) {
+        if !self.has_predecessor_exited {
+            event_loop.begin_recording_facts();
+        }
+    }
+
     /// Drops a journal that was abandoned.
     fn check_journal(&mut self, event_loop: &mut EventLoop<Log>, now: Timestamp) {
         let abandoned = self.journal.take_if(|journal| !journal.is_active());
         if abandoned.is_some() {
+            self.share_facts_by_messages(event_loop);
             log!(
                 event_loop.logger,
                 now,
--- a/crates/driver/src/routing/event_loop/mod.rs
+++ b/crates/driver/src/routing/event_loop/mod.rs
@@ -240,4 +240,9 @@
     pub fn take_control_events(&mut self) -> Vec<ControlEvent> {
         std::mem::take(&mut self.control_events)
     }
+
+    /// Whether control events wait for [`EventLoop::take_control_events`].
+    pub fn has_control_events(&self) -> bool {
+        !self.control_events.is_empty()
+    }
 }
--- a/crates/driver/src/routing/event_loop/peer_process.rs
+++ b/crates/driver/src/routing/event_loop/peer_process.rs
@@ -3,6 +3,7 @@
 
 use super::{EventLoop, Logger};
 use crate::protocol::replica_status;
+use crate::routing::events::ControlEvent;
 use crate::routing::handover::{CoServing, DrainedMember, TransferredClient, TransferredConnection};
 use crate::routing::member_requests::{AdoptedConnection, MemberRequest, RequestKind};
 use crate::routing::members::MemberDirectory;
@@ -133,13 +134,23 @@
                 let position = position.map(RemoteTimestamp);
                 self.policy.on_session_write(now, *session, position);
             }
+            LearnedFact::ReloadRequested => self.control_events.push(ControlEvent::ReloadForPeer),
         }
     }
 
-    /// Facts for a peer process that is about to start, beside the policy's state. Those that are learned from now
-    /// on are kept for [`EventLoop::take_learned_facts`].
-    pub fn begin_recording_facts(&mut self) -> Vec<LearnedFact> {
+    /// Keeps facts that are learned from now on for the peer process, if they don't go to the journal.
+    pub fn begin_recording_facts(&mut self) {
         self.handover.begin_recording_facts();
+    }
+
+    /// Drops the facts that were kept, since no peer process is to be told.
+    pub fn end_recording_facts(&mut self) {
+        self.handover.end_recording_facts();
+    }
+
+    /// Facts for a peer process that gets the policy's state. Those that are learned from now on are kept for
+    /// [`EventLoop::take_learned_facts`].
+    pub fn facts_beside_state(&mut self) -> Vec<LearnedFact> {
         let mut facts = self.dispatch_records.to_facts();
         if self.policy.has_unpositioned_write() {
             facts.push(LearnedFact::SessionWrite {
@@ -147,9 +158,18 @@
                 position: None,
             });
         }
+        // The peer process may have read the configuration before this process did.
+        if self.take_learned_facts().contains(&LearnedFact::ReloadRequested) {
+            facts.push(LearnedFact::ReloadRequested);
+        }
         facts
     }
 
+    /// Lets the peer process reload the configuration as well.
+    pub fn share_reload(&mut self) {
+        self.share_fact(LearnedFact::ReloadRequested);
+    }
+
     /// Shares a session's write that has ended; to be called before its client gets the answer.
     pub(super) fn share_session_write(
         &mut self,
--- a/crates/driver/src/routing/events.rs
+++ b/crates/driver/src/routing/events.rs
@@ -15,6 +15,8 @@
     ReportMetrics,
     /// Reload the configuration (SIGHUP).
     Reload,
+    /// Reload the configuration, since the peer process was told to.
+    ReloadForPeer,
     /// Hand the service over to a new process (SIGUSR2).
     Upgrade,
     /// Another thread has work for the program outside this queue.
--- a/crates/driver/src/routing/handover.rs
+++ b/crates/driver/src/routing/handover.rs
@@ -161,6 +161,11 @@
         self.learned_facts = Some(FactQueue::default());
     }
 
+    /// Stops to record facts, since no successor is to be told.
+    pub fn end_recording_facts(&mut self) {
+        self.learned_facts = None;
+    }
+
     /// Records a fact for the successor, if one is about to start or serves.
     pub fn add_learned_fact(&mut self, fact: LearnedFact) {
         if let Some(facts) = &mut self.learned_facts {
--- a/crates/driver/tests/upgrade.rs
+++ b/crates/driver/tests/upgrade.rs
@@ -1297,6 +1297,38 @@
     assert!(take_execution_counts(&member).values().all(|n| *n == 1));
 }
 
+/// Guards against a reload by the signalled process alone: the other one kept the former address of discovery. Both
+/// serve on probation; behind it the predecessor still answers a statement.
+#[test]
+fn handover_reload_of_either_process_reaches_both() {
+    for (probation, progress) in [
+        ("10min", "upgrade: the successor is ready and asked to serve"),
+        ("200ms", "upgrade: done, the successor owns the service"),
+    ] {
+        let member = start_member(MemberBehavior::AnswerOnRelease);
+        let settings = HANDOVER_SETTINGS.replace("200ms", probation);
+        let mut harness = UpgradeHarness::new(&format!("reload-{probation}"), &member, &settings);
+        let predecessor = harness.driver.process.child.id();
+        let mut client = harness.driver.process.connect();
+        send_statement_with_id(&mut client, "post", 1);
+        while !member.next_event().contains("id=1,") {}
+        let mut command = harness.upgrade_command(env!("CARGO_BIN_EXE_asterlatch"));
+        let _upgrade_request = thread::spawn(move || command.output());
+        let started = harness.driver.wait_for_log("upgrade: started ");
+        let successor = started.rsplit(' ').next().and_then(|pid| pid.parse().ok());
+        let successor = successor.expect("the log line ends with the process id");
+        harness.pid = Some(successor);
+        harness.driver.wait_for_log(progress);
+        harness.await_client_moves(successor);
+        harness.signal(predecessor, "HUP");
+        harness.wait_for_counter(successor, "reloads=1 ");
+        harness.signal(successor, "HUP");
+        harness.wait_for_counter(predecessor, "reloads=2 ");
+        member.release.send(()).expect("release the statement");
+        assert_eq!(read_answer(&mut client).0, "T D C Z", "{probation}");
+    }
+}
+
 /// The resources that both processes together need are checked before the upgrade starts.
 #[test]
 fn upgrade_without_capacity_for_two_is_refused_with_usage() {
--- a/crates/handover/src/co_serving.rs
+++ b/crates/handover/src/co_serving.rs
@@ -110,6 +110,11 @@
         has_counts.then_some(CoServingMessage::Acknowledged)
     }
 
+    /// Notes that the peer understands [`CoServingMessage::Learned`].
+    pub fn set_peer_accepts_facts(&mut self) {
+        self.peer_accepts_facts = true;
+    }
+
     /// Whether the peer understands [`CoServingMessage::Learned`].
     pub fn peer_accepts_facts(&self) -> bool {
         self.peer_accepts_facts
--- a/crates/handover/src/io_journal/replay.rs
+++ b/crates/handover/src/io_journal/replay.rs
@@ -4,7 +4,6 @@
     transfer_memory, AnnouncedWrite, ClientRecovery, ClientReplay, SocketByteCounts, CLIENT_OVERHEAD_BYTES,
 };
 use super::JournalRecord;
-use crate::learned_fact::{FactQueue, LearnedFact};
 use crate::message::ClientState;
 use std::collections::BTreeMap;
 use thiserror::Error;
@@ -53,8 +52,6 @@
     /// Clients in transfer to the successor, by transfer id.
     transfers: BTreeMap<u64, ClientState>,
     clients: BTreeMap<u32, ClientReplay>,
-    /// The latest facts, in order.
-    facts: FactQueue,
     /// Memory counted for all clients, and its limit, in bytes.
     memory_used: usize,
     memory_limit: usize,
@@ -103,7 +100,8 @@
             JournalRecord::Accepted { client } => self.on_accepted(client),
             JournalRecord::Adopted { client, transfer_id } => self.on_adopted(client, transfer_id)?,
             JournalRecord::Closed { client } => self.on_closed(client),
-            JournalRecord::Learned(fact) => self.facts.push(fact),
+            // Facts are not about the journaled clients.
+            JournalRecord::Learned(_) => {}
             JournalRecord::Read {
                 client,
                 written_to,
@@ -134,11 +132,6 @@
         self.check_memory()
     }
 
-    /// Takes the facts that the successor has learned, in order.
-    pub fn take_facts(&mut self) -> Vec<LearnedFact> {
-        self.facts.take()
-    }
-
     fn on_accepted(&mut self, client: u32) {
         self.memory_used += CLIENT_OVERHEAD_BYTES;
         self.clients.insert(client, ClientReplay::default());
--- a/crates/handover/src/learned_fact.rs
+++ b/crates/handover/src/learned_fact.rs
@@ -33,6 +33,18 @@
         /// learned.
         position: Option<u64>,
     },
+    /// The process was told to read the configuration and the operators' file again, and so must the other one.
+    ReloadRequested,
+}
+
+impl LearnedFact {
+    /// Whether it is about a single statement.
+    fn is_of_statement(&self) -> bool {
+        matches!(
+            self,
+            LearnedFact::Dispatched { .. } | LearnedFact::NotExecuted { .. }
+        )
+    }
 }
 
 /// Maximum number of facts that a process keeps for the other one.
@@ -43,16 +55,18 @@
 pub struct FactQueue(VecDeque<LearnedFact>);
 
 impl FactQueue {
-    /// Adds a fact. Beyond [`MAX_FACTS`] all writes of sessions become one of any session, or else the oldest fact is
-    /// dropped.
+    /// Adds a fact. Beyond [`MAX_FACTS`] all writes of sessions become one of any session, or else the oldest fact of
+    /// a statement is dropped.
     pub fn push(&mut self, fact: LearnedFact) {
+        if fact == LearnedFact::ReloadRequested && self.0.contains(&fact) {
+            return;
+        }
         self.0.push_back(fact);
         if self.0.len() > MAX_FACTS {
             self.merge_session_writes();
         }
         if self.0.len() > MAX_FACTS {
-            let is_write = |fact: &LearnedFact| matches!(fact, LearnedFact::SessionWrite { .. });
-            let oldest = self.0.iter().position(|fact| !is_write(fact));
+            let oldest = self.0.iter().position(LearnedFact::is_of_statement);
             oldest.and_then(|index| self.0.remove(index));
         }
     }
--- a/crates/handover/tests/co_serving.rs
+++ b/crates/handover/tests/co_serving.rs
@@ -103,9 +103,11 @@
     }
     let mut queue = FactQueue::default();
     queue.push(write(Some(1), Some(5)));
+    (0..3).for_each(|_| queue.push(LearnedFact::ReloadRequested));
     (0..MAX_FACTS as u64).for_each(|id| queue.push(dispatched(id)));
     let facts = queue.take();
     assert_eq!(facts.len(), MAX_FACTS);
-    assert_eq!(facts[0], dispatched(1));
+    assert_eq!(facts[0], LearnedFact::ReloadRequested);
+    assert_eq!(facts[1], dispatched(2));
     assert!(facts.contains(&write(None, Some(5))));
 }
--- a/crates/handover/tests/fixtures.rs
+++ b/crates/handover/tests/fixtures.rs
@@ -102,6 +102,7 @@
             session: None,
             position: None,
         },
+        LearnedFact::ReloadRequested,
     ]
 }
 
