--- a/crates/handover/tests/model/main.rs
+++ b/crates/handover/tests/model/main.rs
@@ -33,6 +33,9 @@
         (SeededBug::DrainWithoutNotice, properties::DRAIN_HAS_ACCEPTOR),
         (SeededBug::ReclaimFromLiveSuccessor, properties::RECLAIM_FROM_DEAD),
         (SeededBug::DrainOnProbation, properties::DRAIN_AFTER_PROBATION),
+        (SeededBug::WriteNotShared, properties::WRITE_KNOWN),
+        (SeededBug::WriteSharedBehindClient, properties::WRITE_KNOWN),
+        (SeededBug::JournaledWriteForgotten, properties::WRITE_KNOWN),
     ];
     for (bug, property) in cases {
         let model = HandoverModel {
--- a/crates/handover/tests/model/properties.rs
+++ b/crates/handover/tests/model/properties.rs
@@ -20,6 +20,8 @@
 pub(crate) const RECLAIM_FROM_DEAD: &str = "clients are reclaimed only from a dead successor";
 pub(crate) const DRAIN_HAS_ACCEPTOR: &str =
     "while both processes serve on probation, one of them accepts clients";
+pub(crate) const WRITE_KNOWN: &str =
+    "the process that has the client knows of the write that was answered to it";
 
 fn successor_has_phase(state: &SystemState, phase: successor::Phase) -> bool {
     let has = |successor: &Successor| successor.phase == phase;
@@ -82,6 +84,16 @@
     !must_accept || state.predecessor_accepts || state.successor_accepts
 }
 
+fn write_known(state: &SystemState) -> bool {
+    let is_executed = state.answers > 0 && !state.answered_from_journal;
+    let is_known = match state.client {
+        ClientLocation::Predecessor => state.predecessor_knows_write || !state.predecessor_alive,
+        ClientLocation::Successor => state.successor_knows_write || !state.successor_alive,
+        ClientLocation::InTransfer | ClientLocation::Lost => true,
+    };
+    !is_executed || is_known
+}
+
 fn serves_again_after_death(state: &SystemState) -> bool {
     state.predecessor_accepts
         && state.deaths > 0
@@ -108,6 +120,7 @@
         Property::always(DRAIN_AFTER_PROBATION, |_, state| drain_after_probation(state)),
         Property::always(RECLAIM_FROM_DEAD, |_, state: &SystemState| !state.reclaimed_early),
         Property::always(DRAIN_HAS_ACCEPTOR, |_, state| drain_has_acceptor(state)),
+        Property::always(WRITE_KNOWN, |_, state| write_known(state)),
         Property::sometimes(
             "the predecessor answers a statement that the successor had read",
             |_, state: &SystemState| state.answered_from_journal,
--- a/crates/handover/tests/model/steps.rs
+++ b/crates/handover/tests/model/steps.rs
@@ -3,7 +3,7 @@
 use crate::properties;
 use crate::system_state::{ClientLocation, HandoverModel, SeededBug, SystemState};
 use asterlatch::time::Timestamp;
-use asterlatch_handover::message::{ClientState, HandoverMessage};
+use asterlatch_handover::message::HandoverMessage;
 use asterlatch_handover::{predecessor, successor};
 use stateright::{Model, Property};
 
@@ -196,17 +196,25 @@
             Step::SuccessorSeesExit => {
                 self.successor_on_event(state, false, successor::Event::PredecessorExited);
             }
+            Step::ClientMoves => self.move_client(state),
             _ => run_client_step(state, step),
         }
     }
 
     fn successor_receives(&self, state: &mut SystemState) {
         let message = state.to_successor.remove(0);
-        if matches!(message, HandoverMessage::ClientConnection(_)) {
-            state.client = ClientLocation::Successor;
-            // The unparsed input moves with the client.
-            state.successor_owns_statement |= state.predecessor_owns_statement;
-            return;
+        match message {
+            HandoverMessage::ClientConnection(_) => {
+                state.client = ClientLocation::Successor;
+                // The unparsed input moves with the client.
+                state.successor_owns_statement |= state.predecessor_owns_statement;
+                return;
+            }
+            HandoverMessage::CoServing(_) => {
+                state.successor_knows_write = true;
+                return;
+            }
+            _ => {}
         }
         self.successor_on_event(state, false, successor::Event::Message(message));
     }
@@ -238,15 +246,15 @@
         Step::PredecessorAnswers => {
             state.predecessor_owns_statement = false;
             state.answers += 1;
+            state.predecessor_knows_write = true;
+            state.is_write_unshared = true;
         }
         Step::SuccessorAnswers => {
             state.successor_owns_statement = false;
             state.answers += 1;
-        }
-        Step::ClientMoves => {
-            state.client = ClientLocation::InTransfer;
-            let message = HandoverMessage::ClientConnection(ClientState::default());
-            state.to_successor.push(message);
+            state.successor_knows_write = true;
+            // The journal ends only once the predecessor was told that it won't need it.
+            state.is_write_journaled = true;
         }
         _ => unreachable!("{step:?} is handled by run_protocol_step"),
     }
--- a/crates/handover/tests/model/system_state.rs
+++ b/crates/handover/tests/model/system_state.rs
@@ -1,7 +1,9 @@
 //! The state of the model, and the execution of the state machines' actions by each process.
 
 use asterlatch::time::{TimeSpan, Timestamp};
-use asterlatch_handover::message::HandoverMessage;
+use asterlatch_handover::co_serving::CoServingMessage;
+use asterlatch_handover::learned_fact::LearnedFact;
+use asterlatch_handover::message::{ClientState, HandoverMessage};
 use asterlatch_handover::predecessor::{self, Predecessor};
 use asterlatch_handover::successor::{self, Successor};
 
@@ -22,6 +24,12 @@
     SkipReclaim,
     /// A draining predecessor doesn't notify the successor.
     DrainWithoutNotice,
+    /// The predecessor doesn't share a write that it answered after it had sent its state.
+    WriteNotShared,
+    /// The predecessor shares such a write behind the client.
+    WriteSharedBehindClient,
+    /// The predecessor doesn't learn the write that a dead successor had journaled.
+    JournaledWriteForgotten,
 }
 
 /// The process that has the client's connection.
@@ -61,6 +69,13 @@
     pub(crate) predecessor_owns_statement: bool,
     pub(crate) successor_owns_statement: bool,
     pub(crate) answers: u8,
+    /// Whether the predecessor knows that the statement, a write, was executed.
+    pub(crate) predecessor_knows_write: bool,
+    /// Whether the predecessor has learned that behind its state, and has not shared it.
+    pub(crate) is_write_unshared: bool,
+    pub(crate) successor_knows_write: bool,
+    /// Whether the successor has journaled that the statement was executed.
+    pub(crate) is_write_journaled: bool,
     /// Whether the predecessor answered a statement recovered from the journal.
     pub(crate) answered_from_journal: bool,
     pub(crate) to_predecessor: Vec<HandoverMessage>,
@@ -116,6 +131,10 @@
             predecessor_owns_statement: false,
             successor_owns_statement: false,
             answers: 0,
+            predecessor_knows_write: false,
+            is_write_unshared: false,
+            successor_knows_write: false,
+            is_write_journaled: false,
             answered_from_journal: false,
             to_predecessor: Vec::new(),
             to_successor: Vec::new(),
@@ -169,6 +188,24 @@
 }
 
 impl HandoverModel {
+    /// The predecessor sends the client, behind what the successor needs to know.
+    pub(crate) fn move_client(&self, state: &mut SystemState) {
+        state.client = ClientLocation::InTransfer;
+        let client = HandoverMessage::ClientConnection(ClientState::default());
+        let is_shared =
+            std::mem::take(&mut state.is_write_unshared) && !self.has_bug(SeededBug::WriteNotShared);
+        let write = CoServingMessage::Learned(LearnedFact::SessionWrite {
+            session: Some(1),
+            position: None,
+        });
+        let write = is_shared.then(|| HandoverMessage::CoServing(vec![write]));
+        let mut messages: Vec<HandoverMessage> = write.into_iter().chain([client]).collect();
+        if self.has_bug(SeededBug::WriteSharedBehindClient) {
+            messages.reverse();
+        }
+        state.to_successor.extend(messages);
+    }
+
     fn has_bug(&self, bug: SeededBug) -> bool {
         self.bug == Some(bug)
     }
@@ -235,7 +272,11 @@
         use predecessor::Action;
         match state.predecessor_actions.remove(0) {
             Action::StartSuccessor => self.start_successor(state),
-            Action::SendState => state.to_successor.push(HandoverMessage::State(Vec::new())),
+            Action::SendState => {
+                let learned = vec![u8::from(state.predecessor_knows_write)];
+                state.to_successor.push(HandoverMessage::State(learned));
+                state.is_write_unshared = false;
+            }
             Action::Send(message) => state.to_successor.push(message),
             Action::StopAccepting => state.predecessor_accepts = false,
             Action::ResumeServingAlone => {
@@ -266,6 +307,8 @@
         state.to_predecessor.clear();
         state.to_successor.clear();
         state.successor_actions.clear();
+        state.successor_knows_write = false;
+        state.is_write_journaled = false;
         self.successor_on_event(state, false, successor::Event::Started);
     }
 
@@ -277,6 +320,9 @@
             return;
         }
         state.client = ClientLocation::Predecessor;
+        if !self.has_bug(SeededBug::JournaledWriteForgotten) {
+            state.predecessor_knows_write |= state.is_write_journaled;
+        }
         let had_statement = state.successor_owns_statement;
         state.successor_owns_statement = false;
         if had_statement && !self.has_bug(SeededBug::IgnoreJournal) {
@@ -290,7 +336,10 @@
         use successor::Action;
         match state.successor_actions.remove(0) {
             Action::Send(message) if state.predecessor_alive => state.to_predecessor.push(message),
-            Action::LoadState(_) => self.successor_on_event(state, false, successor::Event::Loaded),
+            Action::LoadState(learned) => {
+                state.successor_knows_write = learned.contains(&1);
+                self.successor_on_event(state, false, successor::Event::Loaded);
+            }
             Action::StartAccepting => state.successor_accepts = true,
             Action::Abort(_) => state.successor_dies(),
             Action::Send(_) | Action::StartServing | Action::Report(_) => {}
