A predecessor reads what has arrived before a passed deadline decides

Cause: the event loop handles what its reader thread has passed on, then the deadline; after a stop the thread may not have read the socket yet.

--- a/crates/driver/src/program/operators/applied_settings.rs
+++ b/crates/driver/src/program/operators/applied_settings.rs
@@ -112,6 +112,7 @@
                 ready: upgrade("ready"),
                 commit_acknowledged: upgrade("taken"),
                 heartbeat: upgrade("silence"),
+                ..predecessor::Timeouts::default()
             },
             successor: successor::Timeouts {
                 // The predecessor's own timeout elapses first.
--- a/crates/handover/src/predecessor.rs
+++ b/crates/handover/src/predecessor.rs
@@ -43,6 +43,8 @@
     pub commit_acknowledged: TimeSpan,
     /// Between two heartbeats of a successor on probation.
     pub heartbeat: TimeSpan,
+    /// Behind a passed deadline, until it decides: messages that have arrived are read before that.
+    pub read_grace: TimeSpan,
 }
 
 impl Default for Timeouts {
@@ -52,6 +54,7 @@
             ready: TimeSpan::millis(10_000),
             commit_acknowledged: TimeSpan::millis(1000),
             heartbeat: TimeSpan::millis(5000),
+            read_grace: TimeSpan::millis(100),
         }
     }
 }
@@ -181,6 +184,8 @@
     pub timeouts: Timeouts,
     /// When the current phase times out.
     deadline: Timestamp,
+    /// Whether the deadline has passed once and was extended.
+    is_deadline_extended: bool,
     /// When the next heartbeat to a successor on probation is due.
     next_heartbeat_at: Timestamp,
     now: Timestamp,
@@ -191,7 +196,7 @@
 
 /// The rules in order of precedence. A rule that applies consumes the event; the last one discards unused
 /// events.
-const RULES: [Rule<Predecessor, Action>; 12] = [
+const RULES: [Rule<Predecessor, Action>; 13] = [
     Predecessor::reject_concurrent_upgrade,
     Predecessor::start_successor,
     Predecessor::shut_down,
@@ -201,6 +206,7 @@
     Predecessor::on_probation_passed,
     Predecessor::on_heartbeat,
     Predecessor::on_successor_exited,
+    Predecessor::extend_deadline,
     Predecessor::fence_successor,
     Predecessor::send_heartbeat,
     Predecessor::discard_event,
@@ -216,6 +222,7 @@
             phase: Phase::Serving,
             timeouts,
             deadline: NEVER,
+            is_deadline_extended: false,
             next_heartbeat_at: NEVER,
             now: Timestamp(0),
             event: None,
@@ -260,6 +267,7 @@
         }
         self.phase = phase;
         self.deadline = timeout.map_or(NEVER, |timeout| self.now + timeout);
+        self.is_deadline_extended = false;
         self.event = None;
     }
 
@@ -384,6 +392,17 @@
         Some(actions)
     }
 
+    /// Extends a passed deadline once: this process may have been held up, and the successor's messages not read.
+    fn extend_deadline(&mut self) -> Option<Vec<Action>> {
+        let is_passed = self.event == Some(Event::TimerElapsed) && self.deadline <= self.now;
+        if !is_passed || std::mem::replace(&mut self.is_deadline_extended, true) {
+            return None;
+        }
+        self.deadline = self.now + self.timeouts.read_grace;
+        self.event = None;
+        Some(Vec::new())
+    }
+
     /// A successor that times out or violates the protocol may hang, or be another program. It might still
     /// accept clients, so it must be dead before anything else happens.
     fn fence_successor(&mut self) -> Option<Vec<Action>> {
--- a/crates/handover/tests/model/system_state.rs
+++ b/crates/handover/tests/model/system_state.rs
@@ -98,6 +98,7 @@
         ready: timeout,
         commit_acknowledged: timeout,
         heartbeat: timeout,
+        read_grace: TimeSpan::millis(1),
     }
 }
 
