An idle connection is adopted for the member at its other end

An idle member connection moves in an upgrade with the id that its member has in the predecessor. Each process numbers by itself the members that are listed behind the state, so the successor could use it for another member. By reading; two processes that learn members in another order were not made.

The successor adopts it for the member that is listed at the connection's peer address, and closes it where none is. No message changes.

adopted_connection_is_used_for_the_member_at_its_other_end fails before with one connection adopted for the primary that leads elsewhere. The routing tests' harness can adopt connections for it.

--- a/crates/driver/src/routing/event_loop/peer_process.rs
+++ b/crates/driver/src/routing/event_loop/peer_process.rs
@@ -241,9 +241,13 @@
         self.handover.take_drained_members()
     }
 
-    /// Adopts an idle member connection of another process, if the member is still known.
+    /// Adopts an idle member connection of another process, if the member at its other end is known. Both processes
+    /// assign ids to members of their own that they learn of later, so the id alone doesn't tell the member.
     pub fn adopt_member_connection(&mut self, now: Timestamp, member: u32, stream: TcpStream) {
-        let Some(address) = self.members.address(member) else {
+        let Ok(address) = stream.peer_addr() else {
+            return;
+        };
+        let Some(member) = self.members.find_at(address, member) else {
             return;
         };
         let handover = &mut self.handover;
--- a/crates/driver/src/routing/members.rs
+++ b/crates/driver/src/routing/members.rs
@@ -94,6 +94,16 @@
         self.records.get(&member)?.address
     }
 
+    /// Id of a member at this address, preferably `member`.
+    pub fn find_at(&self, address: SocketAddr, member: u32) -> Option<u32> {
+        if self.address(member) == Some(address) {
+            return Some(member);
+        }
+        let mut records = self.records.iter();
+        let (id, _) = records.find(|(_, record)| record.address == Some(address))?;
+        Some(*id)
+    }
+
     /// Name of a member.
     pub fn name(&self, member: u32) -> Option<&str> {
         self.records.get(&member).map(|record| record.name.as_str())
--- a/crates/driver/tests/routing/harness.rs
+++ b/crates/driver/tests/routing/harness.rs
@@ -19,6 +19,7 @@
 use std::convert::Infallible;
 use std::fmt::Arguments;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc::{channel, Receiver, TryRecvError};
 
@@ -102,6 +103,18 @@
 pub(crate) const PRIMARY: &str = "10.0.0.1:5432";
 pub(crate) const REPLICA: &str = "10.0.0.2:5432";
 
+fn add_connection(
+    connections: &MemberConnections,
+    id: u32,
+    address: SocketAddr,
+) -> ConnectionHandle<MemberCommand> {
+    let (sender, commands) = channel();
+    connections
+        .borrow_mut()
+        .insert(id, (address.to_string(), commands));
+    ConnectionHandle::to_channel(sender)
+}
+
 impl Harness {
     pub(crate) fn new(settings: &str, descriptors: usize, memory: usize) -> Harness {
         let mut harness = Harness::without_members(settings, descriptors, memory);
@@ -125,7 +138,8 @@
             DiscoveryRequestLog::default(),
             Rc::new(RefCell::new(None)),
         );
-        let (opened, request_log, dial_error) = (
+        let (opened, adopted, request_log, dial_error) = (
+            member_connections.clone(),
             member_connections.clone(),
             requests.clone(),
             next_dial_error.clone(),
@@ -140,11 +154,7 @@
         let connectors = Connectors {
             dial_member: Box::new(move |id, address| match dial_error.borrow_mut().take() {
                 Some(code) => Err(io::Error::from_raw_os_error(code)),
-                None => {
-                    let (sender, commands) = channel();
-                    opened.borrow_mut().insert(id, (address.to_string(), commands));
-                    Ok(ConnectionHandle::to_channel(sender))
-                }
+                None => Ok(add_connection(&opened, id, address)),
             }),
             dial_discovery: Box::new(move |request| {
                 let (sender, commands) = channel();
@@ -152,7 +162,9 @@
                 Ok(ConnectionHandle::to_channel(sender))
             }),
             adopt_client: Box::new(|_, _, _| Err(io::Error::other("no handover in this test"))),
-            adopt_member_connection: Box::new(|_, _| Err(io::Error::other("no handover in this test"))),
+            adopt_member_connection: Box::new(move |id, stream| {
+                Ok(add_connection(&adopted, id, stream.peer_addr()?))
+            }),
         };
         let options = EventLoopOptions {
             seed: 7,
--- a/crates/driver/tests/routing/members.rs
+++ b/crates/driver/tests/routing/members.rs
@@ -1,7 +1,8 @@
 //! Requests to members: connections, health checks, and changes of the member list.
 
 use super::harness::{
-    endpoint, endpoint_list, harness_with_client, rows, Harness, PRIMARY, READ, SETTINGS, START, WRITE,
+    endpoint, endpoint_list, harness_with_client, primary_and_replica, rows, Harness, PRIMARY, READ,
+    SETTINGS, START, WRITE,
 };
 use asterlatch::time::TimeSpan;
 use asterlatch_driver::protocol::client_events::ClientEvent;
@@ -13,8 +14,44 @@
 use asterlatch_driver::transport::connection::ConnectionHandle;
 use asterlatch_driver::transport::connection_pool::{ConnectionPool, IdleConnection};
 use asterlatch_driver::transport::idle_lifetime::IdleLifetimeEstimator;
+use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::channel;
 
+/// Guards against statements on another member's connection: each process of an upgrade assigns ids of its own to
+/// members that are listed behind the state.
+#[test]
+fn adopted_connection_is_used_for_the_member_at_its_other_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a loopback address");
+    let address = listener.local_addr().expect("read the bound address");
+    let connect = || TcpStream::connect(address).expect("connect");
+    let mut harness = harness_with_client();
+    // At the peer process this id is that of another member.
+    let primary = 0;
+    harness
+        .event_loop
+        .adopt_member_connection(harness.now, primary, connect());
+    assert_eq!(
+        harness.event_loop.metrics.connections_adopted, 0,
+        "not listed yet"
+    );
+    let listed = Endpoint {
+        address: address.to_string(),
+        group: 2,
+        ..endpoint("listed-later", EndpointStatus::Serving, true)
+    };
+    let mut list = primary_and_replica();
+    (list.index, list.entries) = (3, [list.entries, vec![listed]].concat());
+    harness.event_loop.apply_endpoint_list(harness.now, &list);
+    harness
+        .event_loop
+        .adopt_member_connection(harness.now, primary, connect());
+    assert_eq!(harness.event_loop.metrics.connections_adopted, 1);
+    harness.send_statement(1, WRITE);
+    harness.send_statement(1, WRITE);
+    let addresses = [harness.next_query(), harness.next_query()].map(|query| query.expect("sent").1);
+    assert_eq!(addresses, [PRIMARY, PRIMARY]);
+}
+
 #[test]
 fn closed_stale_idle_connection_counts_no_execution() {
     let mut harness = harness_with_client();
