--- a/crates/driver/tests/routing/configuration.rs
+++ b/crates/driver/tests/routing/configuration.rs
@@ -4,6 +4,7 @@
 use asterlatch_driver::protocol::client_events::{StatementText, STATEMENT_BYTES};
 use asterlatch_driver::routing::limits::Limits;
 use asterlatch_driver::routing::runtime_config::RuntimeConfig;
+use asterlatch_handover::learned_fact::LearnedFact;
 
 /// Lower limits on descriptors or memory apply to new clients and statements only.
 #[test]
@@ -78,3 +79,20 @@
         assert_eq!(clients == full_share, has_full_share, "{case}");
     }
 }
+
+/// Guards against a reload that a successor misses: it has read the configuration, and the state is not sent yet.
+#[test]
+fn reload_between_start_of_successor_and_state_goes_along_with_the_state() {
+    let mut event_loop = harness_with_client().event_loop;
+    event_loop.share_reload();
+    event_loop.begin_recording_facts();
+    assert_eq!(event_loop.facts_beside_state(), [], "reloaded before the start");
+    event_loop.share_reload();
+    assert_eq!(event_loop.facts_beside_state(), [LearnedFact::ReloadRequested]);
+    assert_eq!(event_loop.take_learned_facts(), []);
+    event_loop.share_reload();
+    assert_eq!(event_loop.take_learned_facts(), [LearnedFact::ReloadRequested]);
+    event_loop.end_recording_facts();
+    event_loop.share_reload();
+    assert_eq!(event_loop.take_learned_facts(), []);
+}
