--- a/crates/driver/tests/fleet.rs
+++ b/crates/driver/tests/fleet.rs
@@ -76,7 +76,7 @@
 }
 
 macro_rules! fleet_scenarios {
-    ($($test:ident: $scenario:literal,)*) => {
+    ($(fn $test:ident() = $scenario:literal;)*) => {
         $(#[test]
         fn $test() {
             assert_rules_hold($scenario);
@@ -89,27 +89,27 @@
     };
 }
 fleet_scenarios! {
-    fleet_without_faults_keeps_all_rules: "calm",
-    fleet_driver_killed_and_restarted_keeps_all_rules: "killed",
-    fleet_link_cut_one_way_keeps_all_rules: "one-way",
-    fleet_split_with_primary_change_keeps_all_rules: "split",
-    fleet_drain_unknown_to_one_driver_is_respected: "drain",
-    fleet_drain_known_to_one_side_of_split_is_respected: "drain-in-a-split",
-    fleet_indeterminate_ids_with_stopped_and_killed_drivers_run_once: "doubt",
-    fleet_lossy_garbling_slow_links_keep_all_rules: "lossy",
-    fleet_clocks_an_hour_off_keep_all_rules: "clocks",
-    fleet_two_drivers_from_one_disk_image_keep_all_rules: "one-disk",
-    fleet_paused_driver_keeps_all_rules: "paused",
-    fleet_warming_members_stay_within_budget: "cold",
-    fleet_rolling_restart_keeps_all_rules: "rolling",
-    fleet_two_wire_versions_keep_all_rules: "two-wires",
-    fleet_hanging_member_is_known_to_all: "silent",
-    fleet_hanging_member_with_half_of_datagrams_lost_is_known_to_all: "silent-lossy",
-    fleet_lost_lease_holder_is_replaced: "holder",
-    fleet_third_of_drivers_killed_keeps_all_rules: "third",
-    fleet_growing_and_shrinking_keeps_all_rules: "grows-and-shrinks",
-    fleet_zone_returning_cold_stays_within_budget: "zone-cold",
-    fleet_contradicting_endpoint_lists_keep_all_rules: "lists-differ",
+    fn fleet_without_faults_keeps_all_rules() = "calm";
+    fn fleet_driver_killed_and_restarted_keeps_all_rules() = "killed";
+    fn fleet_link_cut_one_way_keeps_all_rules() = "one-way";
+    fn fleet_split_with_primary_change_keeps_all_rules() = "split";
+    fn fleet_drain_unknown_to_one_driver_is_respected() = "drain";
+    fn fleet_drain_known_to_one_side_of_split_is_respected() = "drain-in-a-split";
+    fn fleet_indeterminate_ids_with_stopped_and_killed_drivers_run_once() = "doubt";
+    fn fleet_lossy_garbling_slow_links_keep_all_rules() = "lossy";
+    fn fleet_clocks_an_hour_off_keep_all_rules() = "clocks";
+    fn fleet_two_drivers_from_one_disk_image_keep_all_rules() = "one-disk";
+    fn fleet_paused_driver_keeps_all_rules() = "paused";
+    fn fleet_warming_members_stay_within_budget() = "cold";
+    fn fleet_rolling_restart_keeps_all_rules() = "rolling";
+    fn fleet_two_wire_versions_keep_all_rules() = "two-wires";
+    fn fleet_hanging_member_is_known_to_all() = "silent";
+    fn fleet_hanging_member_with_half_of_datagrams_lost_is_known_to_all() = "silent-lossy";
+    fn fleet_lost_lease_holder_is_replaced() = "holder";
+    fn fleet_third_of_drivers_killed_keeps_all_rules() = "third";
+    fn fleet_growing_and_shrinking_keeps_all_rules() = "grows-and-shrinks";
+    fn fleet_zone_returning_cold_stays_within_budget() = "zone-cold";
+    fn fleet_contradicting_endpoint_lists_keep_all_rules() = "lists-differ";
 }
 
 /// Only the lease holder checks a lost member's health, also after the previous holder was stopped or killed.
