--- a/crates/driver/src/program/upgrade/retained_clients.rs
+++ b/crates/driver/src/program/upgrade/retained_clients.rs
@@ -44,7 +44,7 @@
     replay: Option<JournalReplay>,
     sockets: BTreeMap<ConnectionKey, RetainedSocket>,
     error: Option<ReplayError>,
-    /// Facts that the successor has journaled. They are kept where the state of the clients is not.
+    /// Facts that the successor has journaled, kept also when the state of the clients is dropped.
     facts: FactQueue,
 }
 
--- a/crates/driver/src/routing/event_loop/peer_process.rs
+++ b/crates/driver/src/routing/event_loop/peer_process.rs
@@ -158,7 +158,8 @@
                 position: None,
             });
         }
-        // The peer process may have read the configuration before this process did.
+        // The peer process may have read the configuration before this process did. The other facts recorded so far
+        // are part of the state and of the records above.
         if self.take_learned_facts().contains(&LearnedFact::ReloadRequested) {
             facts.push(LearnedFact::ReloadRequested);
         }
@@ -241,8 +242,8 @@
         self.handover.take_drained_members()
     }
 
-    /// Adopts an idle member connection of another process, if the member at its other end is known. Both processes
-    /// assign ids to members of their own that they learn of later, so the id alone doesn't tell the member.
+    /// Adopts an idle member connection of another process, if the member at its other end is known. Each process
+    /// numbers the members that it learns of behind the state by itself, so `member` may be another one here.
     pub fn adopt_member_connection(&mut self, now: Timestamp, member: u32, stream: TcpStream) {
         let Ok(address) = stream.peer_addr() else {
             return;
--- a/crates/driver/src/routing/handover.rs
+++ b/crates/driver/src/routing/handover.rs
@@ -101,7 +101,7 @@
     last_adopted_client: u32,
     co_serving: CoServing,
     drained_members: Vec<DrainedMember>,
-    /// What this process has learned and not told its successor; `None` while there is none.
+    /// Facts that the peer process is to be told by messages; `None` while there is none, or a journal for them.
     learned_facts: Option<FactQueue>,
     clients: Vec<TransferredClient>,
     connections: Vec<TransferredConnection>,
@@ -156,17 +156,17 @@
         std::mem::take(&mut self.drained_members)
     }
 
-    /// Starts to record facts for a successor.
+    /// Starts to record facts for the peer process.
     pub fn begin_recording_facts(&mut self) {
         self.learned_facts = Some(FactQueue::default());
     }
 
-    /// Stops to record facts, since no successor is to be told.
+    /// Stops recording facts, since no peer process is to be told.
     pub fn end_recording_facts(&mut self) {
         self.learned_facts = None;
     }
 
-    /// Records a fact for the successor, if one is about to start or serves.
+    /// Records a fact for the peer process, if facts are recorded.
     pub fn add_learned_fact(&mut self, fact: LearnedFact) {
         if let Some(facts) = &mut self.learned_facts {
             facts.push(fact);
--- a/crates/handover/src/learned_fact.rs
+++ b/crates/handover/src/learned_fact.rs
@@ -2,7 +2,7 @@
 //!
 //! The predecessor sends its facts in [`CoServingMessage`](crate::co_serving::CoServingMessage)s, ahead of the
 //! clients that it moves. The successor records them in the I/O journal before it acts on them, so that they
-//! outlive it.
+//! outlive it; once it owns the service and the journal has ended, it sends them in the same messages.
 
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -25,12 +25,12 @@
         /// Hash of the id that its client gave it.
         client_id: u64,
     },
-    /// A write of a session has ended and may have been executed. Told before its client gets the answer.
+    /// A write of a session has ended and may have been executed. Shared before its client gets the answer.
     SessionWrite {
         /// Hash of the session; `None` stands for any session.
         session: Option<u64>,
-        /// Log position of the write; `None` if it was not reported, so that it is by the time at which the fact is
-        /// learned.
+        /// Log position of the write. `None` if it was not reported: the write has committed by the time at which
+        /// the other process learns the fact.
         position: Option<u64>,
     },
     /// The process was told to read the configuration and the operators' file again, and so must the other one.
--- a/crates/testbed/src/roaming_clients.rs
+++ b/crates/testbed/src/roaming_clients.rs
@@ -200,7 +200,7 @@
             }
             driver = (driver + 1 + self.rng.usize(0..driver_count)) % driver_count;
         }
-        // Not the time behind the delay that follows a rejection.
+        // The client's delay after a rejection isn't part of the time to the answer.
         record.answered = attempts
             .last()
             .map_or_else(wall_clock_now, |attempt| attempt.ended);
