Gossip version tests wait for the control socket

gossip_later_version_exchanges_known_items and upgrade_in_progress_never_reports_not_executed failed together once beside a build, and the first once in 6 runs beside 16 busy processes: 'fleet status' printed nothing. The tests waited for the listener alone, and the control socket is opened behind it. They wait for the log line of the phase now, as the upgrade tests do; what they check is the same.

--- a/crates/driver/tests/gossip_versions.rs
+++ b/crates/driver/tests/gossip_versions.rs
@@ -105,6 +105,8 @@
         member.address,
         &["--operators", &file, "--control", &control],
     );
+    // The control socket is opened after the listener.
+    driver.wait_for_log("phase: t is serving");
     let host = driver.process.listen.ip();
     socket.connect((host, port)).expect("connect the UDP socket");
     socket
