Upgrade: nothing is recorded for a predecessor that doesn't know learned facts

A successor kept facts for a predecessor of an earlier build that never takes them (bounded, so without effect but memory), and its log line about such a predecessor named ids alone, where positions and reloads aren't told either. Found on re-reading; no test.

--- a/crates/driver/src/program/serve/startup.rs
+++ b/crates/driver/src/program/serve/startup.rs
@@ -47,7 +47,8 @@
         let mut event_loop = EventLoop::new(settings, decoding, options, now, Log::default());
         if let Some(resumed) = resumed {
             if resumed.learned.facts.is_none() {
-                let text = "the predecessor is an earlier build: ids of statements that it has dispatched are unknown";
+                let text = "the predecessor is an earlier build: ids of statements that it has dispatched, positions of \
+                    writes that it answers from now on, and its reloads are unknown";
                 log!(event_loop.logger, now, "upgrade", "{text}");
             }
             event_loop.resume(self.clock.now(), settings, resumed.learned);
--- a/crates/driver/src/program/upgrade/successor.rs
+++ b/crates/driver/src/program/upgrade/successor.rs
@@ -305,9 +305,10 @@
         log!(event_loop.logger, now, "upgrade", "the predecessor has exited");
     }
 
-    /// From the end of the journal on, a predecessor that still runs learns facts from co-serving messages.
+    /// From the end of the journal on, a predecessor that still runs learns facts from co-serving messages. One of an
+    /// earlier build doesn't know them.
     fn share_facts_by_messages(&self, event_loop: &mut EventLoop<Log>) {
-        if !self.has_predecessor_exited {
+        if !self.has_predecessor_exited && self.co_serving.peer_accepts_facts() {
             event_loop.begin_recording_facts();
         }
     }
