Unread answers stay within the memory limit

Cause: an answer that was begun was kept for each client, whatever memory was left; freed buffers of 64 KB stayed in the heap; answers on their way between event loop and client weren't counted, nor was room left for them; an answer's buffer doubled for its last bytes.

Change: answers that clients leave unread take three quarters of the clients' budget at most. Beyond that, and where the budget is exceeded, connections are closed, first the one that has read nothing for longest (evictions.rs). Buffers of 32 KB and more are mapped and returned (mallopt). An answer counts from the event loop on. A budget is at most 36 % of what process and connections leave, in place of half; 32 MB with 256 descriptors and 192 MB keep their full share.

On the code before, the new form of hundreds_of_unfinished_requests_stay_within_the_memory_limit fails with 54 MB, and unread_answer_beyond_the_budget_is_cut_off with two whole answers.

--- a/crates/driver/src/program/serve/mod.rs
+++ b/crates/driver/src/program/serve/mod.rs
@@ -44,6 +44,7 @@
     options: &operators::OperatorsOptions,
     control_path: Option<&Path>,
 ) -> Result<(), ServeError> {
+    transport::allocator::return_large_buffers();
     match start_and_run(config, load_config, options, control_path) {
         Err(ServeError::ShutDown) => Ok(()),
         result => result,
--- a/crates/driver/src/protocol/client_events.rs
+++ b/crates/driver/src/protocol/client_events.rs
@@ -130,6 +130,8 @@
         messages: Vec<u8>,
         /// The client may safely retry the statement, although it was executed.
         is_retry_safe: bool,
+        /// Covers the messages on their way to the client's session.
+        reservation: MemoryReservation,
     },
     /// An error reported by this driver.
     Error {
@@ -153,6 +155,17 @@
 }
 
 impl FinalAnswer {
+    /// Creates an answer from a member's messages, whose memory is taken from the budget even beyond its capacity.
+    pub fn rows(messages: Vec<u8>, is_retry_safe: bool, budget: &MemoryBudget) -> FinalAnswer {
+        let mut reservation = budget.empty_reservation();
+        reservation.force_resize(messages.capacity());
+        FinalAnswer::Rows {
+            messages,
+            is_retry_safe,
+            reservation,
+        }
+    }
+
     /// Encodes the answer for the client, including ReadyForQuery.
     pub(super) fn into_bytes(self) -> Vec<u8> {
         let mut bytes = match self {
--- a/crates/driver/src/protocol/client_session/mod.rs
+++ b/crates/driver/src/protocol/client_session/mod.rs
@@ -11,6 +11,7 @@
     ANSWER_DROPPED, ANSWER_DROPPED_AFTER_EXECUTION, CLIENT_DISCONNECTED, OUT_OF_MEMORY, TOO_FAR_AHEAD,
     TOO_LARGE, TOO_MANY_CONNECTIONS,
 };
+use crate::transport::buffer;
 use crate::transport::connection::ConnectionOutput;
 use crate::transport::io_journal::IoJournalWriter;
 use crate::transport::memory_budget::MemoryBudget;
@@ -271,7 +272,7 @@
             if out.bytes.is_empty() {
                 out.bytes = answer;
             } else {
-                out.bytes.extend(answer);
+                buffer::append(&mut out.bytes, &answer);
             }
         }
     }
@@ -293,15 +294,11 @@
 
     /// Replaces a member's answer that can't be written yet by an error if no memory is left for it.
     fn limit_answer(&mut self, number: u32, answer: FinalAnswer, out: &Output) -> FinalAnswer {
-        let FinalAnswer::Rows {
-            messages,
-            is_retry_safe,
-        } = &answer
-        else {
+        let FinalAnswer::Rows { is_retry_safe, .. } = &answer else {
             return answer;
         };
         let can_be_written = out.bytes.is_empty() && self.pipeline.is_first(number);
-        if can_be_written || self.budget.has_room_for(messages.len()) {
+        if can_be_written || !self.budget.is_exceeded() {
             return answer;
         }
         self.rejected_for_memory += 1;
--- a/crates/driver/src/protocol/member_connection.rs
+++ b/crates/driver/src/protocol/member_connection.rs
@@ -2,6 +2,7 @@
 
 use super::messages::{self, NextMessage, HEADER_BYTES};
 use super::replica_status;
+use crate::transport::buffer;
 use crate::transport::connection::{ConnectionHandler, ConnectionOutput};
 use asterlatch::interface::ReplicaStatus;
 use asterlatch::time::Timestamp;
@@ -223,7 +224,7 @@
             }
             _ => return false,
         };
-        answer.rows.extend(bytes);
+        buffer::append(&mut answer.rows, bytes);
         is_valid
     }
 
--- a/crates/driver/src/routing/event_loop/members.rs
+++ b/crates/driver/src/routing/event_loop/members.rs
@@ -63,10 +63,8 @@
         match (reply, request.kind) {
             // The bytes of the first complete answer are forwarded unchanged.
             (Reply::Rows(rows), RequestKind::Execution(id)) => {
-                let answer = FinalAnswer::Rows {
-                    messages: rows,
-                    is_retry_safe: self.statements.is_client_retry_safe(id.statement),
-                };
+                let is_retry_safe = self.statements.is_client_retry_safe(id.statement);
+                let answer = FinalAnswer::rows(rows, is_retry_safe, &self.memory.clients);
                 let is_answered = self.answer(id.statement, answer);
                 self.metrics.completed += u64::from(is_answered);
             }
--- a/crates/driver/src/routing/runtime_config.rs
+++ b/crates/driver/src/routing/runtime_config.rs
@@ -8,6 +8,9 @@
 const PROCESS_BYTES: usize = 6 << 20;
 /// Memory of a connection: its stack, its entries in tables, and the buffers that no budget covers.
 const CONNECTION_BYTES: usize = 16 << 10;
+/// Largest part of a budget in the memory that the process and a full table of connections leave, in percent. The
+/// rest is for complete messages on their way between connections.
+const MAX_BUDGET_PERCENT: usize = 36;
 /// Minimum of a budget as a fraction of all memory, where connections alone could take nearly all of it.
 const MIN_BUDGET_DIVISOR: usize = 16;
 
@@ -57,13 +60,15 @@
         budgets.members.set_capacity(member_bytes);
     }
 
-    /// A share of the memory, but at most half of what the process and a full table of connections leave.
+    /// A share of the memory, but at most [`MAX_BUDGET_PERCENT`] of what the process and a full table of connections leave.
     fn budget_bytes(&self, limits: &Limits, share: Share) -> usize {
         let capacity = self.connection_capacity(limits);
         let connections = (capacity.clients + capacity.members) * CONNECTION_BYTES;
         let free = self.max_memory.saturating_sub(PROCESS_BYTES + connections);
         let min_budget = self.max_memory / MIN_BUDGET_DIVISOR;
-        share.of(self.max_memory).min((free / 2).max(min_budget))
+        share
+            .of(self.max_memory)
+            .min((free * MAX_BUDGET_PERCENT / 100).max(min_budget))
     }
 
     /// Splits the descriptors between client and member connections.
--- a/crates/driver/src/transport/connection/buffer.rs
+++ b/crates/driver/src/transport/buffer.rs
@@ -4,7 +4,7 @@
 const GROWTH_DIVISOR: usize = 8;
 
 /// Appends bytes to a buffer, which grows by a small share: hundreds of connections may hold large messages.
-pub(super) fn append(buffer: &mut Vec<u8>, bytes: &[u8]) {
+pub fn append(buffer: &mut Vec<u8>, bytes: &[u8]) {
     let needed = buffer.len() + bytes.len();
     if needed > buffer.capacity() {
         let capacity = needed + buffer.len() / GROWTH_DIVISOR;
@@ -14,7 +14,7 @@
 }
 
 /// Shrinks a buffer that is larger than `min_bytes` and at most half full.
-pub(super) fn shrink(buffer: &mut Vec<u8>, min_bytes: usize) {
+pub fn shrink(buffer: &mut Vec<u8>, min_bytes: usize) {
     if buffer.capacity() > min_bytes && buffer.len() <= buffer.capacity() / 2 {
         buffer.shrink_to(buffer.len() + buffer.len() / GROWTH_DIVISOR);
     }
--- a/crates/driver/src/transport/connection/coroutine.rs
+++ b/crates/driver/src/transport/connection/coroutine.rs
@@ -1,9 +1,10 @@
 //! The coroutine of a connection.
 
-use super::buffer;
 use super::{ConnectionHandle, ConnectionHandler, ConnectionOutput};
+use crate::transport::buffer;
 use crate::transport::clock::Clock;
 use crate::transport::event_registration;
+use crate::transport::evictions::Wake;
 use crate::transport::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::transport::socket_errors::{self, NextStep, SocketError};
 use asterlatch::time::{TimeSpan, Timestamp};
@@ -19,9 +20,9 @@
 const MAX_READ_BYTES: usize = 16 * 1024;
 /// Memory of a connection that is exempt from the memory budget. Buffers up to this size are not shrunk.
 const UNRESERVED_BYTES: usize = 1024;
-/// Incomplete messages leave the budget's capacity divided by this to other uses, so that clients that stop in
-/// the middle of large requests don't have all other statements rejected.
-const INCOMPLETE_MESSAGE_DIVISOR: usize = 4;
+/// Incomplete messages leave the budget's capacity divided by this to other uses, and so do answers that peers don't
+/// read, so that clients that stop in the middle of either don't have all other statements rejected.
+const STALLED_MESSAGE_DIVISOR: usize = 4;
 /// Time for which a connection that always has input runs before it yields to others.
 const MAX_SLICE: TimeSpan = TimeSpan::millis(1);
 /// Maximum input that is discarded after the sending side was closed. Closing a socket with unread input
@@ -47,6 +48,8 @@
     read_at: Timestamp,
     out: ConnectionOutput<H::Event>,
     has_unreported_writes: bool,
+    /// Bytes were written since memory was last reserved.
+    has_written: bool,
     /// The peer has closed its side, and all its input was read.
     is_input_ended: bool,
     /// Bytes discarded since the sending side was closed; `None` before that.
@@ -228,6 +231,7 @@
             match self.io.inner().write(&self.out.bytes) {
                 Ok(count) => {
                     self.out.bytes.drain(..count);
+                    self.has_written = true;
                 }
                 Err(error) => match socket_errors::send(&error).into() {
                     Flow::Continue => {}
@@ -249,9 +253,19 @@
         }
         let buffered = self.input.capacity() + self.out.bytes.capacity();
         let buffered = (buffered + self.handler.held_bytes()).saturating_sub(UNRESERVED_BYTES);
-        // A partly written answer is never cut off: while peers read slowly, new statements are rejected
-        // instead. Nor is a connection closed while its peer waits for an answer; `wants_input` bounds the
-        // input read ahead meanwhile.
+        let has_written = std::mem::take(&mut self.has_written);
+        if !self.out.bytes.is_empty() && self.handler.is_server() {
+            // A partly written answer is cut off only where unread answers would take the memory of all others.
+            let headroom = self.budget_headroom();
+            let waker = self.io.waker();
+            let wake = || -> Wake { Box::new(move || waker.wakeup()) };
+            self.reservation
+                .force_resize_evictable(buffered, headroom, has_written, wake);
+            return true;
+        }
+        self.reservation.protect();
+        // A connection is not closed while its peer waits for an answer; `wants_input` bounds the input read ahead
+        // meanwhile.
         if self.out.bytes.is_empty() && self.handler.is_evictable() {
             let headroom = self.budget_headroom();
             return self.reservation.resize_with_headroom(buffered, headroom);
@@ -260,9 +274,9 @@
         true
     }
 
-    /// Capacity of the budget that incomplete messages leave to complete ones.
+    /// Capacity of the budget that stalled messages leave to others.
     fn budget_headroom(&self) -> usize {
-        self.reservation.budget_capacity() / INCOMPLETE_MESSAGE_DIVISOR
+        self.reservation.budget_capacity() / STALLED_MESSAGE_DIVISOR
     }
 
     /// Handles pending socket input and commands. Input comes first, so that a query commanded after the peer
@@ -271,6 +285,10 @@
         if let Some(discarded) = self.discarded_bytes {
             return self.discard_lingering_input(discarded);
         }
+        if self.reservation.is_evicted() {
+            self.handler.on_memory_exhausted(&mut self.out);
+            return Flow::Close;
+        }
         let previously_wanted_input = self.wants_input();
         let flow = if self.is_open { self.read() } else { self.connect() };
         let flow = self.handle_commands(flow);
@@ -471,6 +489,7 @@
         read_at: clock.now(),
         out,
         has_unreported_writes: false,
+        has_written: false,
         is_input_ended: false,
         discarded_bytes: None,
         reservation: budget.empty_reservation(),
--- a/crates/driver/src/transport/connection/mod.rs
+++ b/crates/driver/src/transport/connection/mod.rs
@@ -2,7 +2,6 @@
 //! [`ConnectionHandler`]. Connections have no timeouts of their own: the owner of the [`ConnectionHandle`]
 //! closes them.
 
-mod buffer;
 mod coroutine;
 mod start;
 
--- a/crates/driver/src/transport/memory_budget.rs
+++ b/crates/driver/src/transport/memory_budget.rs
@@ -1,29 +1,34 @@
 //! A memory budget that connections share. It only accounts for bytes and allocates no memory.
 
+use super::evictions::{EvictionEntry, EvictionQueue, Wake};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-struct Counters {
+struct Shared {
     reserved: AtomicUsize,
     capacity: AtomicUsize,
+    evictions: EvictionQueue,
 }
 
 /// A limit on the bytes reserved in total. Clones share it and may be used from any thread.
 #[derive(Clone)]
-pub struct MemoryBudget(Arc<Counters>);
+pub struct MemoryBudget(Arc<Shared>);
 
 /// Bytes reserved from the budget, which are released on drop.
 pub struct MemoryReservation {
     budget: MemoryBudget,
     bytes: usize,
+    /// Set while the budget may take the bytes back.
+    eviction: Option<EvictionEntry>,
 }
 
 impl MemoryBudget {
     /// Creates a budget of `capacity` bytes.
     pub fn new(capacity: usize) -> MemoryBudget {
-        MemoryBudget(Arc::new(Counters {
+        MemoryBudget(Arc::new(Shared {
             reserved: AtomicUsize::new(0),
             capacity: AtomicUsize::new(capacity),
+            evictions: EvictionQueue::default(),
         }))
     }
 
@@ -42,6 +47,11 @@
         self.0.reserved.load(Ordering::Relaxed)
     }
 
+    /// Whether more is reserved than the capacity.
+    pub fn is_exceeded(&self) -> bool {
+        self.reserved() > self.capacity()
+    }
+
     /// Whether more than `bytes` of the capacity are free.
     pub fn has_room_for(&self, bytes: usize) -> bool {
         self.reserved() + bytes < self.capacity()
@@ -52,6 +62,7 @@
         MemoryReservation {
             budget: self.clone(),
             bytes: 0,
+            eviction: None,
         }
     }
 
@@ -91,10 +102,48 @@
         reserved.fetch_sub(self.bytes, Ordering::Relaxed);
         self.bytes = bytes;
     }
+
+    /// Like [`MemoryReservation::force_resize`], but reservations of this kind are evicted while the capacity is
+    /// exceeded or they leave less than `headroom` bytes of it: the longest without progress first, and this one may
+    /// be among them. `wake` is called from any thread when it is. Those that hold no bytes are not evicted.
+    pub fn force_resize_evictable(
+        &mut self,
+        bytes: usize,
+        headroom: usize,
+        has_progressed: bool,
+        wake: impl FnOnce() -> Wake,
+    ) {
+        self.force_resize(bytes);
+        if has_progressed || bytes == 0 {
+            self.protect();
+        }
+        let evictions = &self.budget.0.evictions;
+        match &mut self.eviction {
+            Some(entry) => evictions.resize(entry, bytes),
+            None if bytes > 0 => self.eviction = Some(evictions.add(bytes, wake())),
+            None => {}
+        }
+        let capacity = self.budget.capacity();
+        let excess = self.budget.reserved().saturating_sub(capacity);
+        evictions.evict(excess, capacity.saturating_sub(headroom));
+    }
+
+    /// Whether the holder has to release all bytes.
+    pub fn is_evicted(&self) -> bool {
+        self.eviction.as_ref().is_some_and(EvictionEntry::is_evicted)
+    }
+
+    /// Ends the evictability of the bytes.
+    pub fn protect(&mut self) {
+        if let Some(entry) = self.eviction.take() {
+            self.budget.0.evictions.remove(&entry);
+        }
+    }
 }
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
         self.force_resize(0);
+        self.protect();
     }
 }
--- a/crates/driver/tests/harness/mod.rs
+++ b/crates/driver/tests/harness/mod.rs
@@ -58,6 +58,9 @@
 /// of a client that doesn't read.
 pub(crate) const LARGE_ROW_BYTES: usize = 2 << 20;
 
+/// Size of the row that answers a statement containing `'medium'`.
+pub(crate) const MEDIUM_ROW_BYTES: usize = 64 << 10;
+
 /// What a fake member does with a statement.
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum MemberBehavior {
@@ -148,6 +151,8 @@
             b"x0=1,x1=1"
         } else if text.contains("'large'") {
             &[b'x'; LARGE_ROW_BYTES]
+        } else if text.contains("'medium'") {
+            &[b'x'; MEDIUM_ROW_BYTES]
         } else {
             b"\x00value"
         };
--- a/crates/driver/tests/memory_limit.rs
+++ b/crates/driver/tests/memory_limit.rs
@@ -4,23 +4,42 @@
 use harness::*;
 use std::io::Write;
 use std::net::TcpStream;
+use std::time::Duration;
 
 const MEMORY_MB: u64 = 32;
 const CLIENTS: usize = 450;
 
+/// Statements that a client sends without reading an answer.
+const READS_AHEAD: usize = 16;
+/// Time without a statement at the member behind which none is expected.
+const QUIET_TIME: Duration = Duration::from_millis(500);
+/// Receive buffer of each client's socket.
+const RECEIVE_BUFFER_BYTES: usize = 4 << 10;
+
 /// What each of the clients sends.
 struct Flood {
     name: &'static str,
-    bytes: Vec<u8>,
+    behavior: MemberBehavior,
+    /// Requests of the client with this number.
+    requests: fn(usize) -> Vec<u8>,
     /// Bytes that each client writes before the next one's turn.
     part_bytes: usize,
 }
 
 /// A query message with the head of a statement, many short fields, and a value of this size.
 fn query(fields: usize, value_bytes: usize) -> Vec<u8> {
-    let head = format!("/* id=7,c=view,d=20000,cluster=1{}", ",a=1".repeat(fields));
-    let value = "x".repeat(value_bytes);
-    message(b'Q', format!("{head} */ SELECT '{value}'\0").as_bytes())
+    query_with("7", &",a=1".repeat(fields), &"x".repeat(value_bytes))
+}
+
+fn query_with(id: &str, fields: &str, value: &str) -> Vec<u8> {
+    let text = format!("/* id={id},c=view,d=20000,cluster=1{fields} */ SELECT '{value}'\0");
+    message(b'Q', text.as_bytes())
+}
+
+/// Reads with ids of their own.
+fn medium_reads(client: usize) -> Vec<u8> {
+    let read = |number| query_with(&format!("{client}x{number}"), "", "medium");
+    (0..READS_AHEAD).flat_map(read).collect()
 }
 
 fn without_end(mut message: Vec<u8>) -> Vec<u8> {
@@ -40,11 +59,21 @@
 
 /// Connects the clients and has them write their parts in turns. Clients that the driver closes meanwhile go.
 fn run_flood(process: &DriverProcess, flood: &Flood) -> Vec<TcpStream> {
-    let mut clients: Vec<TcpStream> = (0..CLIENTS).map(|_| process.connect()).collect();
-    for part in flood.bytes.chunks(flood.part_bytes) {
-        clients.retain_mut(|client| client.write_all(part).is_ok());
+    let open = |number| {
+        let client = process.connect();
+        socket2::SockRef::from(&client)
+            .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+            .expect("set the receive buffer's size");
+        (client, (flood.requests)(number))
+    };
+    let mut clients: Vec<(TcpStream, Vec<u8>)> = (0..CLIENTS).map(open).collect();
+    while clients.iter().any(|(_, rest)| !rest.is_empty()) {
+        clients.retain_mut(|(client, rest)| {
+            let part: Vec<u8> = rest.drain(..flood.part_bytes.min(rest.len())).collect();
+            client.write_all(&part).is_ok()
+        });
     }
-    clients
+    clients.into_iter().map(|(client, _)| client).collect()
 }
 
 /// Guards against a process that passes its memory limit and is killed: buffers took more memory than was
@@ -54,27 +83,37 @@
     let floods = [
         Flood {
             name: "stopped half way in large requests",
-            bytes: without_end(query(0, 30_000)),
+            behavior: MemberBehavior::AnswerOnRelease,
+            requests: |_| without_end(query(0, 30_000)),
             part_bytes: usize::MAX,
         },
         Flood {
             name: "large requests written slowly",
-            bytes: without_end(query(0, 120_000)),
+            behavior: MemberBehavior::AnswerOnRelease,
+            requests: |_| without_end(query(0, 120_000)),
             part_bytes: 1500,
         },
         Flood {
             name: "heads of very many short fields",
-            bytes: without_end(query(30_000, 10)),
+            behavior: MemberBehavior::AnswerOnRelease,
+            requests: |_| without_end(query(30_000, 10)),
             part_bytes: 1500,
         },
         Flood {
             name: "many small requests ahead",
-            bytes: query(0, 10).repeat(2000),
+            behavior: MemberBehavior::AnswerOnRelease,
+            requests: |_| query(0, 10).repeat(2000),
             part_bytes: 30_000,
         },
+        Flood {
+            name: "reads of 64 KB ahead whose answers aren't read",
+            behavior: MemberBehavior::Answer,
+            requests: medium_reads,
+            part_bytes: usize::MAX,
+        },
     ];
     for (number, flood) in floods.iter().enumerate() {
-        let member = start_member(MemberBehavior::AnswerOnRelease);
+        let member = start_member(flood.behavior);
         let config = config_text(unused_address(), unresponsive_discovery(), member.address)
             .replace(r#""memory_mb":192"#, &format!(r#""memory_mb":{MEMORY_MB}"#))
             .replace(r#""sockets":256"#, r#""sockets":1024"#);
@@ -82,6 +121,9 @@
         let clients = run_flood(&process, flood);
         // Answered behind what the clients have sent so far.
         drop(process.connect());
+        if flood.behavior == MemberBehavior::Answer {
+            while member.events.recv_timeout(QUIET_TIME).is_ok() {}
+        }
         let peak = peak_memory_mb(&process);
         assert!(peak <= MEMORY_MB, "{}: {peak} MB", flood.name);
         drop(clients);
--- a/crates/driver/tests/protocol/client_session.rs
+++ b/crates/driver/tests/protocol/client_session.rs
@@ -387,10 +387,8 @@
         session.on_input(&mut input, AT, &mut out);
         out.bytes.clear();
         let mut answer = |number, out: &mut ConnectionOutput<_>| {
-            let rows = FinalAnswer::Rows {
-                messages: message(b'D', &[b'x'; ANSWER_BYTES]),
-                is_retry_safe,
-            };
+            let messages = message(b'D', &[b'x'; ANSWER_BYTES]);
+            let rows = FinalAnswer::rows(messages, is_retry_safe, &budget);
             session.on_command(ClientCommand::Answer(number, rows), AT, out);
             session.on_input(&mut Vec::new(), AT, out);
         };
--- a/crates/driver/tests/protocol/harness.rs
+++ b/crates/driver/tests/protocol/harness.rs
@@ -39,10 +39,7 @@
 
 /// A member's answer to a statement that is safe to retry.
 pub(crate) fn rows(messages: Vec<u8>) -> FinalAnswer {
-    FinalAnswer::Rows {
-        messages,
-        is_retry_safe: true,
-    }
+    FinalAnswer::rows(messages, true, &MemoryBudget::new(0))
 }
 
 /// A startup message with this version and these fields.
--- a/crates/driver/tests/transport.rs
+++ b/crates/driver/tests/transport.rs
@@ -6,8 +6,9 @@
     attach, dial, ConnectionHandle, ConnectionHandler, ConnectionOutput,
 };
 use asterlatch_driver::transport::coroutines::{start, CoroutineStacks};
+use asterlatch_driver::transport::evictions::Wake;
 use asterlatch_driver::transport::memory_budget::MemoryBudget;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
@@ -206,3 +207,144 @@
         );
     }
 }
+
+const UNREAD_ANSWER_BYTES: usize = 1 << 20;
+const SOCKET_BUFFER_BYTES: usize = 64 << 10;
+
+/// Server side of a connection that is commanded to write an answer.
+struct AnswerWriter;
+
+impl ConnectionHandler for AnswerWriter {
+    type Command = ();
+    type Event = ();
+    fn is_server(&self) -> bool {
+        true
+    }
+    fn on_input(&mut self, _input: &mut Vec<u8>, _at: Timestamp, _out: &mut ConnectionOutput<()>) {}
+    fn on_command(&mut self, _command: (), _at: Timestamp, out: &mut ConnectionOutput<()>) {
+        out.bytes = vec![b'x'; UNREAD_ANSWER_BYTES];
+    }
+    fn on_closed(&mut self, _at: Timestamp, _out: &mut ConnectionOutput<()>) {}
+    fn wants_input(&self, _unused: usize) -> bool {
+        true
+    }
+}
+
+/// Guards against a process that passes its memory limit: answers that clients didn't read were kept, one for each
+/// client, whatever memory was left.
+#[test]
+fn unread_answer_beyond_the_budget_is_cut_off() {
+    start(CoroutineStacks::default());
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind a listener");
+    let address = listener.local_addr().expect("read the listener's address");
+    let (queue, _events) = channel::<()>();
+    // One answer fits into three quarters of it, two don't.
+    let budget = MemoryBudget::new(UNREAD_ANSWER_BYTES * 3 / 2);
+    let open = |_| {
+        let peer = TcpStream::connect(address).expect("connect to the listener");
+        let accepted = listener.accept().expect("accept a connection").0;
+        peer.set_read_timeout(Some(Duration::from_secs(30)))
+            .expect("set the read timeout");
+        for (stream, is_sender) in [(&accepted, true), (&peer, false)] {
+            let socket = socket2::SockRef::from(stream);
+            let result = if is_sender {
+                socket.set_send_buffer_size(SOCKET_BUFFER_BYTES)
+            } else {
+                socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES)
+            };
+            result.expect("set the size of a socket's buffer");
+        }
+        let context = (Clock::start(), &budget);
+        let handle = attach(accepted, true, AnswerWriter, &queue, context, Vec::new());
+        (handle.expect("register the connection"), peer)
+    };
+    let connections = [0, 1].map(open);
+    connections.iter().for_each(|(handle, _)| handle.send(()));
+    let received = connections.each_ref().map(|(_, peer)| {
+        let mut answer = Vec::new();
+        let mut peer = peer.take(UNREAD_ANSWER_BYTES as u64);
+        peer.read_to_end(&mut answer).expect("read an answer");
+        answer.len()
+    });
+    let whole = received.iter().filter(|bytes| **bytes == UNREAD_ANSWER_BYTES);
+    assert_eq!(whole.count(), 1, "{received:?} bytes");
+}
+
+/// One step with a budget of 1000 bytes, of which evictable reservations leave 250.
+struct EvictionStep {
+    holder: usize,
+    bytes: usize,
+    has_progressed: bool,
+    expected_evictions: &'static [usize],
+}
+
+#[test]
+fn force_resize_evictable_evicts_the_longest_without_progress() {
+    let step = |holder, bytes, has_progressed, expected_evictions| EvictionStep {
+        holder,
+        bytes,
+        has_progressed,
+        expected_evictions,
+    };
+    let cases: [&[EvictionStep]; 6] = [
+        &[
+            step(0, 400, false, &[]),
+            step(1, 300, false, &[]),
+            step(2, 200, false, &[0]),
+        ],
+        &[
+            step(0, 400, false, &[]),
+            step(1, 300, false, &[]),
+            step(0, 390, true, &[]),
+            step(2, 200, false, &[1]),
+        ],
+        &[step(0, 400, false, &[]), step(0, 800, false, &[0])],
+        // What was released is free again.
+        &[
+            step(0, 400, false, &[]),
+            step(0, 0, true, &[]),
+            step(1, 700, false, &[]),
+        ],
+        // Evicted ones count as released, and a holder without bytes isn't evicted.
+        &[
+            step(0, 0, false, &[]),
+            step(1, 700, false, &[]),
+            step(2, 700, false, &[1]),
+            step(0, 40, false, &[]),
+        ],
+        &[
+            step(0, 100, false, &[]),
+            step(1, 100, false, &[]),
+            step(2, 740, false, &[0, 1]),
+        ],
+    ];
+    for (number, steps) in cases.iter().enumerate() {
+        let budget = MemoryBudget::new(1000);
+        let (evictions, evicted) = channel();
+        let mut holders = [0, 1, 2].map(|_| budget.empty_reservation());
+        for step in *steps {
+            let (evictions, holder) = (evictions.clone(), step.holder);
+            let wake = || -> Wake { Box::new(move || evictions.send(holder).expect("report the eviction")) };
+            let reservation = &mut holders[step.holder];
+            reservation.force_resize_evictable(step.bytes, 250, step.has_progressed, wake);
+            let evicted: Vec<usize> = evicted.try_iter().collect();
+            assert_eq!(evicted, step.expected_evictions, "case {number}");
+            assert!(evicted.iter().all(|holder| holders[*holder].is_evicted()));
+        }
+        drop(holders);
+        assert_eq!(budget.reserved(), 0);
+    }
+}
+
+/// Memory that others reserve takes precedence over evictable reservations.
+#[test]
+fn force_resize_evictable_beside_full_budget_is_evicted() {
+    let budget = MemoryBudget::new(1000);
+    let _others = budget.reserve(900).expect("reserve a part of the budget");
+    let mut reservation = budget.empty_reservation();
+    let wake = || -> Wake { Box::new(|| ()) };
+    reservation.force_resize_evictable(100, 250, false, wake);
+    assert!(!reservation.is_evicted());
+    reservation.force_resize_evictable(101, 250, false, wake);
+    assert!(reservation.is_evicted());
+}
