A second copy of an answer isn't taken for the next answer

Cause: an answer ends its statement, the connection carries the next one at once, and a copy that arrives behind that query was taken for its answer.

Change: an answer that equals the last one of its connection, position and role included, and that was read sooner behind it than half of the connection's fastest response, or has more input behind it, is in doubt. The event loop holds it: if another answer follows, that one counts; if noise, the end of the connection, the request's timeout or 50 ms come first, the held one does, and the connection is closed. No result is lost where an answer is equal by chance.

With the recognition switched off, on_input_copy_of_last_answer_is_not_the_next_answer reports the copy as the answer.

--- a/crates/driver/src/protocol/member_connection.rs
+++ b/crates/driver/src/protocol/member_connection.rs
@@ -1,5 +1,6 @@
 //! A connection to a member, which carries one execution or health check at a time.
 
+use super::answer_copies::AnswerCopies;
 use super::messages::{self, NextMessage, HEADER_BYTES};
 use super::replica_status;
 use crate::transport::buffer;
@@ -18,6 +19,18 @@
     Malformed,
 }
 
+/// A complete answer.
+pub struct MemberAnswer {
+    /// Time at which the answer was read.
+    pub at: Timestamp,
+    /// The answer.
+    pub reply: Reply,
+    /// Log position and role that the member reported with the answer.
+    pub status: ReplicaStatus,
+    /// The member's load report, unparsed.
+    pub report: Option<String>,
+}
+
 /// An event of a connection to a member.
 pub enum MemberEvent {
     /// The startup has completed; the connection is ready for queries.
@@ -38,6 +51,14 @@
         /// The member's load report, unparsed.
         report: Option<String>,
     },
+    /// The member has answered the open query, or has sent a second copy of the last answer; in that case the answer
+    /// follows.
+    RepliedInDoubt {
+        /// Id of the connection.
+        connection: u32,
+        /// The answer or the copy.
+        answer: MemberAnswer,
+    },
     /// The idle connection continues in another process.
     Transferred {
         /// Id of the connection.
@@ -129,6 +150,9 @@
     has_open_query: bool,
     is_query_written: bool,
     answer: Answer,
+    copies: AnswerCopies,
+    /// Whether more input was read behind the current message.
+    has_more_input: bool,
 }
 
 type Output = ConnectionOutput<MemberEvent>;
@@ -144,6 +168,8 @@
             has_open_query: false,
             is_query_written: false,
             answer: Answer::default(),
+            copies: AnswerCopies::default(),
+            has_more_input: false,
         }
     }
 
@@ -155,8 +181,9 @@
         }
     }
 
-    fn send(&mut self, query: Vec<u8>, out: &mut Output) {
+    fn send(&mut self, query: Vec<u8>, at: Timestamp, out: &mut Output) {
         self.answer = Answer::default();
+        self.copies.on_query(at);
         self.state = State::Busy;
         self.has_open_query = true;
         self.is_query_written = false;
@@ -174,6 +201,20 @@
         self.has_open_query = false;
     }
 
+    /// Reports an answer behind which another one may follow.
+    fn report_in_doubt(&mut self, reply: Reply, at: Timestamp, out: &mut Output) {
+        let answer = std::mem::take(&mut self.answer);
+        out.events.push(MemberEvent::RepliedInDoubt {
+            connection: self.connection,
+            answer: MemberAnswer {
+                at,
+                reply,
+                status: answer.status,
+                report: answer.report,
+            },
+        });
+    }
+
     /// Closes the connection, since message boundaries can no longer be trusted, and discards the status and
     /// the load report received with the answer.
     fn reject_malformed(&mut self, at: Timestamp, out: &mut Output) {
@@ -193,6 +234,9 @@
     /// Handles one message, whose `bytes` include the header; returns whether it is valid in this state.
     fn on_message(&mut self, kind: u8, body: &[u8], bytes: &[u8], at: Timestamp, out: &mut Output) -> bool {
         let is_busy = self.state == State::Busy;
+        if is_busy {
+            self.copies.on_message(bytes);
+        }
         match kind {
             b'N' | b'K' | b'R' | b'v' if self.state == State::Startup => {
                 // Password authentication is not supported.
@@ -254,7 +298,7 @@
                     connection: self.connection,
                 });
                 if let Some(query) = self.first_query.take() {
-                    self.send(query, out);
+                    self.send(query, at, out);
                 }
                 true
             }
@@ -262,8 +306,12 @@
                 let Some(reply) = self.answer.take_reply() else {
                     return false;
                 };
-                self.state = State::Idle;
-                self.report(reply, at, out);
+                if matches!(reply, Reply::Rows(_)) && self.copies.may_end_copy(at, self.has_more_input) {
+                    self.report_in_doubt(reply, at, out);
+                } else {
+                    self.state = State::Idle;
+                    self.report(reply, at, out);
+                }
                 true
             }
             _ => false,
@@ -288,6 +336,7 @@
                 NextMessage::Partial => break,
                 NextMessage::Complete { kind, body, length } => {
                     let bytes = &input[used..used + length];
+                    self.has_more_input = used + length < input.len();
                     if !self.on_message(kind, body, bytes, at, out) {
                         self.reject_malformed(at, out);
                     }
@@ -303,10 +352,10 @@
         }
     }
 
-    fn on_command(&mut self, command: MemberCommand, _at: Timestamp, out: &mut Output) {
+    fn on_command(&mut self, command: MemberCommand, at: Timestamp, out: &mut Output) {
         match (command, self.state) {
             (MemberCommand::Query(query), State::Startup) => self.first_query = Some(query),
-            (MemberCommand::Query(query), State::Idle) => self.send(query, out),
+            (MemberCommand::Query(query), State::Idle) => self.send(query, at, out),
             (MemberCommand::HandOver, State::Idle) => out.hand_over = true,
             _ => {}
         }
--- a/crates/driver/src/protocol/mod.rs
+++ b/crates/driver/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 //! Handlers are state machines driven by input and commands. They check every length and count against a
 //! bound before they allocate memory for it.
 
+mod answer_copies;
 pub mod client_events;
 pub mod client_session;
 pub mod discovery_watch;
--- a/crates/driver/src/routing/event_loop/members.rs
+++ b/crates/driver/src/routing/event_loop/members.rs
@@ -2,7 +2,7 @@
 
 use super::{EventLoop, Logger};
 use crate::protocol::client_events::FinalAnswer;
-use crate::protocol::member_connection::{MemberEvent, Reply};
+use crate::protocol::member_connection::{MemberAnswer, MemberEvent, Reply};
 use crate::protocol::{messages, replica_status};
 use crate::routing::execution_outcomes;
 use crate::routing::handover::TransferredConnection;
@@ -27,14 +27,17 @@
                 status,
                 report,
             } => {
-                let request = match reply {
-                    Reply::Malformed => self.member_requests.close(connection),
-                    _ => self.member_requests.on_answered(connection, now),
+                let answer = MemberAnswer {
+                    at,
+                    reply,
+                    status,
+                    report,
                 };
-                if let Some(request) = request {
-                    let status = status.merge(self.reported_status(&request, &reply, report));
-                    self.on_reply(now, request, at, reply, status);
-                }
+                self.on_last_reply(now, connection, answer);
+            }
+            MemberEvent::RepliedInDoubt { connection, answer } => {
+                let is_copy = self.member_requests.hold_answer(now, connection, answer);
+                self.metrics.answer_copies_dropped += u64::from(is_copy);
             }
             MemberEvent::Closed {
                 connection,
@@ -44,6 +47,38 @@
         }
     }
 
+    /// Handles an answer behind which no other one follows.
+    fn on_last_reply(&mut self, now: Timestamp, connection: u32, answer: MemberAnswer) {
+        let held = self.member_requests.take_held_answer(connection);
+        if !matches!(answer.reply, Reply::Malformed) {
+            self.metrics.answer_copies_dropped += u64::from(held.is_some());
+            if let Some(request) = self.member_requests.on_answered(connection, now) {
+                self.on_answer(now, request, answer);
+            }
+        } else if let Some(request) = self.member_requests.close(connection) {
+            // No copy, then: what follows it isn't the answer.
+            self.on_answer(now, request, held.unwrap_or(answer));
+        }
+    }
+
+    /// Accepts the answers that were held as possible copies and that no other one has followed.
+    pub(super) fn release_held_answers(&mut self, now: Timestamp) {
+        while let Some((request, answer)) = self.member_requests.next_released_answer(now) {
+            self.on_answer(now, request, answer);
+        }
+    }
+
+    fn on_answer(&mut self, now: Timestamp, request: MemberRequest, answer: MemberAnswer) {
+        let MemberAnswer {
+            at,
+            reply,
+            status,
+            report,
+        } = answer;
+        let status = status.merge(self.reported_status(&request, &reply, report));
+        self.on_reply(now, request, at, reply, status);
+    }
+
     fn on_reply(
         &mut self,
         now: Timestamp,
@@ -94,9 +129,13 @@
         closed_at: Timestamp,
         is_written: bool,
     ) {
+        let held = self.member_requests.take_held_answer(connection);
         let Some(request) = self.member_requests.close(connection) else {
             return;
         };
+        if let Some(answer) = held {
+            return self.on_answer(now, request, answer);
+        }
         if request.is_reused_connection && !is_written {
             // It had closed while idle: nothing was sent, so a restart does not count as another execution.
             self.metrics.idle_connections_stale += 1;
--- a/crates/driver/src/routing/event_loop/mod.rs
+++ b/crates/driver/src/routing/event_loop/mod.rs
@@ -207,6 +207,7 @@
 
     /// Handles everything that is due by `now`: timeouts, retries, and work of the policy and of gossip.
     pub fn advance_to(&mut self, now: Timestamp) {
+        self.release_held_answers(now);
         self.time_out_requests(now);
         if self.policy_wakes_at.is_some_and(|at| at <= now) {
             let actions = self.policy.advance_to(now);
--- a/crates/driver/src/routing/member_requests/mod.rs
+++ b/crates/driver/src/routing/member_requests/mod.rs
@@ -1,15 +1,17 @@
 //! Requests to members: executions and health checks in flight, with their connections and timeouts.
 
+mod held_answers;
 mod request;
 
 use super::execution_outcomes;
 use super::limits::Share;
-use crate::protocol::member_connection::MemberCommand;
+use crate::protocol::member_connection::{MemberAnswer, MemberCommand};
 use crate::transport::connection::ConnectionHandle;
 use crate::transport::connection_pool::{ConnectionPool, IdleConnection};
 use crate::transport::idle_lifetime::IdleLifetimeEstimator;
 use asterlatch::interface::ExecutionOutcome;
 use asterlatch::time::{TimeSpan, Timestamp};
+use held_answers::HeldAnswers;
 pub use request::{
     Assignment, AttemptId, EstablishedConnection, InFlightExecution, MemberRequest, OpenReason, RequestKind,
     UnansweredRequest,
@@ -58,6 +60,7 @@
     /// Connection ids by execution.
     connections: BTreeMap<AttemptId, u32>,
     timeouts: BTreeSet<(Timestamp, u32)>,
+    held_answers: HeldAnswers,
     /// Connections being established whose request was withdrawn, with their timeouts.
     unassigned: BTreeMap<u32, Timestamp>,
     idle_lifetimes: IdleLifetimeEstimator,
@@ -75,6 +78,7 @@
             in_flight: BTreeMap::new(),
             connections: BTreeMap::new(),
             timeouts: BTreeSet::new(),
+            held_answers: HeldAnswers::default(),
             unassigned: BTreeMap::new(),
             idle_lifetimes: IdleLifetimeEstimator::default(),
             was_evicted: BTreeMap::new(),
@@ -209,6 +213,7 @@
 
     fn take_request(&mut self, connection: u32) -> Option<MemberRequest> {
         let request = self.in_flight.remove(&connection)?;
+        self.held_answers.take(connection);
         self.timeouts.remove(&(request.times_out_at, connection));
         if let RequestKind::Execution(attempt) = request.kind {
             self.connections.remove(&attempt);
@@ -225,6 +230,33 @@
         Some(request)
     }
 
+    /// Holds an answer that may be a copy of an earlier one. Returns whether it follows another such answer, which is
+    /// dropped. Without a request, the answer is dropped.
+    pub fn hold_answer(&mut self, now: Timestamp, connection: u32, answer: MemberAnswer) -> bool {
+        let Some(request) = self.in_flight.get(&connection) else {
+            return false;
+        };
+        self.held_answers
+            .hold(connection, answer, now, request.times_out_at)
+    }
+
+    /// Takes the answer held for this connection.
+    pub fn take_held_answer(&mut self, connection: u32) -> Option<MemberAnswer> {
+        self.held_answers.take(connection)
+    }
+
+    /// Takes the next answer that is held no longer, with its request, and closes the connection: a late answer may
+    /// still follow.
+    pub fn next_released_answer(&mut self, now: Timestamp) -> Option<(MemberRequest, MemberAnswer)> {
+        while let Some((_, connection)) = self.held_answers.next().filter(|(at, _)| *at <= now) {
+            let answer = self.held_answers.take(connection)?;
+            if let Some(request) = self.close(connection) {
+                return Some((request, answer));
+            }
+        }
+        None
+    }
+
     /// Records whether a reused connection turned out to be broken.
     pub fn record_reuse(&mut self, request: &MemberRequest, now: Timestamp, is_broken: bool) {
         if request.is_reused_connection {
@@ -331,11 +363,12 @@
         self.pool.close_idle_since(now, self.limits.max_idle());
     }
 
-    /// Time of the next request timeout or idle expiry.
+    /// Time of the next request timeout, idle expiry or release of a held answer.
     pub fn next_at(&self) -> Option<Timestamp> {
         let timeout = self.timeouts.first().map(|(at, _)| *at);
         let oldest_idle = self.pool.oldest_idle();
         let idle_expiry = oldest_idle.map(|oldest| oldest.since + self.limits.max_idle());
-        timeout.into_iter().chain(idle_expiry).min()
+        let release = self.held_answers.next().map(|(at, _)| at);
+        timeout.into_iter().chain(idle_expiry).chain(release).min()
     }
 }
--- a/crates/driver/src/routing/metrics.rs
+++ b/crates/driver/src/routing/metrics.rs
@@ -81,6 +81,8 @@
     answers_too_old,
     /// Members that violated the protocol.
     members_malformed,
+    /// Second copies of members' answers that were dropped.
+    answer_copies_dropped,
     /// Connections to members that turned out to have closed while idle.
     idle_connections_stale,
     /// Connections to members adopted from another process.
--- a/crates/driver/tests/protocol/member_connection.rs
+++ b/crates/driver/tests/protocol/member_connection.rs
@@ -30,6 +30,7 @@
     let descriptions = events.iter().map(|event| match event {
         member_connection::MemberEvent::Transferred { .. } => "transferred".to_owned(),
         member_connection::MemberEvent::Connected { .. } => "connected".to_owned(),
+        member_connection::MemberEvent::RepliedInDoubt { .. } => "in doubt".to_owned(),
         member_connection::MemberEvent::Replied {
             reply,
             status,
@@ -202,3 +203,60 @@
         assert_eq!(describe_member_events(&out.events), expected, "{name}");
     }
 }
+
+/// Guards against rows of other statements: a second copy of an answer that arrived behind the next query was taken
+/// for the answer to that one.
+#[test]
+fn on_input_copy_of_last_answer_is_not_the_next_answer() {
+    let answer = |value: &[u8], as_of: &str| {
+        let messages = [
+            row_description(1),
+            data_row(value),
+            message(b'C', b"SELECT 1\0"),
+            parameter_status("as_of", as_of),
+            message(b'Z', b"I"),
+        ];
+        messages.concat()
+    };
+    let (last, next) = (answer(b"a", "5"), answer(b"b", "5"));
+    let both = [last.clone(), next.clone()].concat();
+    type Parts<'a> = &'a [(u64, &'a [u8])];
+    // Answers of 4 ms; the second query is sent 0.1 ms behind the first answer. Times in us behind that answer.
+    #[rustfmt::skip]
+    let cases: [(&str, Parts, &[&str]); 8] = [
+        ("a copy before the answer", &[(400, &last), (5000, &next)], &["in doubt", "rows(b)@5"]),
+        ("two copies before the answer", &[(400, &last), (900, &last), (5000, &next)], &["in doubt", "in doubt", "rows(b)@5"]),
+        ("a copy that is read late, with the answer", &[(5000, &both)], &["in doubt", "rows(b)@5"]),
+        ("a copy before an answer that is read with it", &[(400, &both)], &["in doubt", "rows(b)@5"]),
+        ("an equal answer", &[(4000, &last)], &["rows(a)@5"]),
+        ("another row at once", &[(400, &next)], &["rows(b)@5"]),
+        ("the same row at another position", &[(400, &answer(b"a", "6"))], &["rows(a)@6"]),
+        ("an error at once", &[(400, &error_response("53300")), (400, &message(b'Z', b"I"))], &["53300"]),
+    ];
+    for (name, parts, expected) in cases {
+        for chunk_bytes in [usize::MAX, 1] {
+            let (mut member, mut out) = (MemberConnection::resume(1, 1 << 17), ConnectionOutput::default());
+            let answered_at = AT + TimeSpan::millis(4);
+            member.on_command(MemberCommand::Query(query("a")), AT, &mut out);
+            member.on_input(&mut last.clone(), answered_at, &mut out);
+            out.events.clear();
+            let sent_at = answered_at + TimeSpan(100);
+            member.on_command(MemberCommand::Query(query("b")), sent_at, &mut out);
+            for (after, bytes) in parts {
+                let mut input = Vec::new();
+                // Read byte by byte, nothing tells that the answer follows a late copy.
+                let chunk_bytes = if bytes.len() == both.len() {
+                    usize::MAX
+                } else {
+                    chunk_bytes
+                };
+                for chunk in bytes.chunks(chunk_bytes.min(bytes.len())) {
+                    input.extend(chunk);
+                    member.on_input(&mut input, answered_at + TimeSpan(*after), &mut out);
+                }
+            }
+            assert_eq!(describe_member_events(&out.events), expected, "{name}");
+            assert!(!out.close, "{name}");
+        }
+    }
+}
--- a/crates/driver/tests/routing/members.rs
+++ b/crates/driver/tests/routing/members.rs
@@ -4,10 +4,11 @@
     endpoint, endpoint_list, harness_with_client, primary_and_replica, rows, Harness, PRIMARY, READ,
     SETTINGS, START, WRITE,
 };
+use asterlatch::interface::ReplicaStatus;
 use asterlatch::time::TimeSpan;
 use asterlatch_driver::protocol::client_events::ClientEvent;
 use asterlatch_driver::protocol::endpoint_list::{Endpoint, EndpointStatus};
-use asterlatch_driver::protocol::member_connection::{MemberCommand, MemberEvent};
+use asterlatch_driver::protocol::member_connection::{MemberAnswer, MemberCommand, MemberEvent, Reply};
 use asterlatch_driver::protocol::messages;
 use asterlatch_driver::routing::event_loop::MemberCounts;
 use asterlatch_driver::routing::events::Event;
@@ -332,3 +333,69 @@
     harness.advance(3000);
     assert!(harness.event_loop.metrics.health_checks_sent > before);
 }
+
+/// Guards against rows of other statements, see `on_input_copy_of_last_answer_is_not_the_next_answer`: the answer that
+/// follows a possible copy counts, and without one what was no copy isn't lost.
+#[test]
+fn answer_in_doubt_counts_only_if_no_other_one_follows() {
+    let hold = |harness: &mut Harness, connection, value| {
+        let answer = MemberAnswer {
+            at: harness.now,
+            reply: rows(value),
+            status: ReplicaStatus::default(),
+            report: None,
+        };
+        harness.member_event(MemberEvent::RepliedInDoubt { connection, answer });
+    };
+    type Then = fn(&mut Harness, u32);
+    let cases: [(&str, Then, &str, bool); 5] = [
+        (
+            "another answer",
+            |h, c| h.reply(c, rows("own"), None),
+            "rows(own)",
+            true,
+        ),
+        (
+            "an error",
+            |h, c| h.reply(c, Reply::Error("XX000".to_owned()), None),
+            "40003",
+            true,
+        ),
+        ("nothing", |h, _| h.advance(50), "rows(held)", false),
+        (
+            "noise",
+            |h, c| h.reply(c, Reply::Malformed, None),
+            "rows(held)",
+            false,
+        ),
+        (
+            "the end",
+            |h, connection| {
+                let at = h.now;
+                h.member_event(MemberEvent::Closed {
+                    connection,
+                    at,
+                    written: true,
+                });
+            },
+            "rows(held)",
+            false,
+        ),
+    ];
+    for (name, then, expected, stays_open) in cases {
+        let mut harness = harness_with_client();
+        harness.send_statement(1, WRITE);
+        let (connection, _) = harness.next_query().expect("the statement is sent");
+        hold(&mut harness, connection, "copy");
+        hold(&mut harness, connection, "held");
+        harness.advance(49);
+        assert_eq!(harness.received(1), "", "{name}");
+        then(&mut harness, connection);
+        assert!(harness.received(1).starts_with(expected), "{name}");
+        harness.advance(100);
+        assert_eq!(harness.received(1), "", "{name}: a second answer");
+        harness.send_statement(1, WRITE);
+        let (next, _) = harness.next_query().expect("the next statement is sent");
+        assert_eq!(next == connection, stays_open, "{name}");
+    }
+}
