Connection's coroutine and the test harness in several files

Closing and memory of a connection have files of their own, and fake members, the driver's process and drivers with an operators' file have theirs in the harness.

--- a/crates/driver/src/transport/connection/coroutine.rs
+++ b/crates/driver/src/transport/connection/coroutine/mod.rs
@@ -1,18 +1,19 @@
 //! The coroutine of a connection.
 
+mod closing;
+mod memory;
+
 use super::{ConnectionHandle, ConnectionHandler, ConnectionOutput};
 use crate::transport::buffer;
 use crate::transport::clock::Clock;
 use crate::transport::event_registration;
-use crate::transport::evictions::Wake;
 use crate::transport::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::transport::socket_errors::{self, NextStep, SocketError};
 use asterlatch::time::{TimeSpan, Timestamp};
 use may::io::{CoIo, WaitIo};
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cell::RefCell;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
 use std::time::Duration;
 
@@ -20,14 +21,8 @@
 const MAX_READ_BYTES: usize = 16 * 1024;
 /// Memory of a connection that is exempt from the memory budget. Buffers up to this size are not shrunk.
 const UNRESERVED_BYTES: usize = 1024;
-/// Incomplete messages leave the budget's capacity divided by this to other uses, and so do answers that peers don't
-/// read, so that clients that stop in the middle of either don't have all other statements rejected.
-const STALLED_MESSAGE_DIVISOR: usize = 4;
 /// Time for which a connection that always has input runs before it yields to others.
 const MAX_SLICE: TimeSpan = TimeSpan::millis(1);
-/// Maximum input that is discarded after the sending side was closed. Closing a socket with unread input
-/// resets the connection, and the peer loses answers that it has not read yet.
-const MAX_LINGERING_BYTES: usize = 256 * 1024;
 /// Delay of a retry after errors whose end the kernel does not report.
 const RETRY_DELAY: Duration = Duration::from_millis(1);
 
@@ -162,69 +157,6 @@
         })
     }
 
-    /// Detects that a client closes its side while its input is not read.
-    fn detect_peer_close(&mut self) -> Flow {
-        if !self.handler.is_server() {
-            return Flow::Wait;
-        }
-        let Some(events) = self.poll_socket() else {
-            // The kernel is out of memory.
-            return Flow::Pause;
-        };
-        if events.intersects(PollFlags::HUP | PollFlags::ERR) {
-            return Flow::Close;
-        }
-        let is_half_closed = events.contains(PollFlags::RDHUP) && !self.is_input_ended;
-        if is_half_closed {
-            if !self.handler.on_input_ended(false, &mut self.out) {
-                return Flow::Close;
-            }
-            self.handle_input();
-        }
-        if events.contains(PollFlags::IN) && !self.handler.wants_input(self.input.len()) {
-            self.handler.on_backlog(&mut self.out);
-        }
-        Flow::Wait
-    }
-
-    /// Polls for unread input and a closed or failed connection; `None` if polling fails.
-    fn poll_socket(&self) -> Option<PollFlags> {
-        let mut fds = [PollFd::new(self.io.inner(), PollFlags::IN | PollFlags::RDHUP)];
-        let no_wait = Timespec::default();
-        poll(&mut fds, Some(&no_wait)).ok()?;
-        Some(fds[0].revents())
-    }
-
-    /// Closes the sending side. The peer can still read what was written before.
-    fn half_close(&mut self) -> Flow {
-        if self.io.inner().shutdown(Shutdown::Write).is_err() {
-            return Flow::Close;
-        }
-        self.discarded_bytes = Some(0);
-        self.input = Vec::new();
-        self.reservation.resize(0);
-        self.handler.on_half_closed(&mut self.out);
-        self.report_events();
-        Flow::Continue
-    }
-
-    /// Discards input after the sending side was closed, until the peer closes the other side.
-    fn discard_lingering_input(&mut self, discarded: usize) -> Flow {
-        let read = READ_BUFFER.with_borrow_mut(|buffer| self.io.inner().read(buffer));
-        let is_handle_dropped = matches!(self.commands.try_recv(), Err(TryRecvError::Disconnected));
-        match read {
-            Ok(count) if count > 0 && discarded + count <= MAX_LINGERING_BYTES => {
-                self.discarded_bytes = Some(discarded + count);
-                Flow::Continue
-            }
-            Ok(_) => Flow::Close,
-            Err(error) => match socket_errors::receive(&error).into() {
-                Flow::Wait if is_handle_dropped => Flow::Close,
-                flow => flow,
-            },
-        }
-    }
-
     fn write(&mut self) -> Flow {
         self.has_unreported_writes |= !self.out.bytes.is_empty();
         while !self.out.bytes.is_empty() {
@@ -245,40 +177,6 @@
         Flow::Wait
     }
 
-    /// Shrinks oversized buffers and reserves the memory that the connection holds; returns whether the budget
-    /// suffices.
-    fn reserve_memory(&mut self) -> bool {
-        for bytes in [&mut self.input, &mut self.out.bytes] {
-            buffer::shrink(bytes, UNRESERVED_BYTES);
-        }
-        let buffered = self.input.capacity() + self.out.bytes.capacity();
-        let buffered = (buffered + self.handler.held_bytes()).saturating_sub(UNRESERVED_BYTES);
-        let has_written = std::mem::take(&mut self.has_written);
-        if !self.out.bytes.is_empty() && self.handler.is_server() {
-            // A partly written answer is cut off only where unread answers would take the memory of all others.
-            let headroom = self.budget_headroom();
-            let waker = self.io.waker();
-            let wake = || -> Wake { Box::new(move || waker.wakeup()) };
-            self.reservation
-                .force_resize_evictable(buffered, headroom, has_written, wake);
-            return true;
-        }
-        self.reservation.protect();
-        // A connection is not closed while its peer waits for an answer; `wants_input` bounds the input read ahead
-        // meanwhile.
-        if self.out.bytes.is_empty() && self.handler.is_evictable() {
-            let headroom = self.budget_headroom();
-            return self.reservation.resize_with_headroom(buffered, headroom);
-        }
-        self.reservation.force_resize(buffered);
-        true
-    }
-
-    /// Capacity of the budget that stalled messages leave to others.
-    fn budget_headroom(&self) -> usize {
-        self.reservation.budget_capacity() / STALLED_MESSAGE_DIVISOR
-    }
-
     /// Handles pending socket input and commands. Input comes first, so that a query commanded after the peer
     /// has closed the connection is known not to have been sent.
     fn step(&mut self) -> Flow {
@@ -391,65 +289,6 @@
         }
         self.close();
     }
-
-    /// Passes a duplicate of the socket to the handler, and unregisters and closes the original.
-    fn hand_over(mut self) {
-        match self.io.inner().try_clone() {
-            Ok(stream) => {
-                let input = std::mem::take(&mut self.input);
-                event_registration::unregister(self.io.inner());
-                close_socket(self.io);
-                self.handler.on_handed_over(stream, input, &mut self.out);
-                for event in self.out.events.drain(..) {
-                    let _ = self.queue.send(event.into());
-                }
-            }
-            Err(_) => self.close(),
-        }
-    }
-
-    fn close(self) {
-        if self.is_open && self.discarded_bytes.is_none() {
-            self.shut_down_write();
-        }
-        let Connection {
-            io,
-            mut handler,
-            commands,
-            queue,
-            clock,
-            mut out,
-            ..
-        } = self;
-        if handler.is_shared() {
-            event_registration::unregister(io.inner());
-            // Fails if the peer has already disconnected, which is harmless.
-            let _ = io.inner().shutdown(Shutdown::Both);
-        }
-        // Closed before the event is sent, so that the owner never counts fewer descriptors than are open.
-        close_socket(io);
-        handler.on_closed(clock.now(), &mut out);
-        while let Ok(command) = commands.try_recv() {
-            handler.on_command(command, clock.now(), &mut out);
-        }
-        for event in out.events.drain(..) {
-            let _ = queue.send(event.into());
-        }
-    }
-
-    /// Closes the sending side and discards pending input, so that the peer can still read what was written.
-    fn shut_down_write(&self) {
-        let _ = self.io.inner().shutdown(Shutdown::Write);
-        let discard_chunk =
-            |buffer: &mut Vec<u8>| matches!(self.io.inner().read(buffer), Ok(count) if count > 0);
-        READ_BUFFER.with_borrow_mut(|buffer| {
-            for _ in 0..MAX_LINGERING_BYTES / MAX_READ_BYTES {
-                if !discard_chunk(buffer) {
-                    break;
-                }
-            }
-        });
-    }
 }
 
 /// Spawns the coroutine of a registered connection that is established (`is_open`) or connecting. `input` was
