--- a/crates/driver/src/protocol/answer_copies.rs
+++ b/crates/driver/src/protocol/answer_copies.rs
@@ -26,6 +26,7 @@
 }
 
 impl AnswerCopies {
+    /// A query was sent at `at`.
     pub(super) fn on_query(&mut self, at: Timestamp) {
         self.query_sent_at = at;
         self.messages = DefaultHasher::new();
@@ -37,9 +38,9 @@
         self.messages.write(&bytes[..bytes.len().min(MAX_COMPARED_BYTES)]);
     }
 
-    /// Ends the current answer with what was read at `at`. Returns whether it may be a copy of the last one, behind
-    /// which the answer to the query is still to come: if it equals the last one, and either came sooner than any
-    /// response to a query or more input follows.
+    /// Ends the current answer, whose last bytes were read at `at`. Returns whether it may be a copy of the last one, with
+    /// the answer to the query still to come: it equals the last one, and either was read sooner behind it than half of
+    /// the fastest response on this connection or is followed by more input.
     pub(super) fn may_end_copy(&mut self, at: Timestamp, has_more_input: bool) -> bool {
         let fingerprint = std::mem::take(&mut self.messages).finish();
         let may_be_copy = self.last.is_some_and(|last| {
--- a/crates/driver/src/routing/event_loop/members.rs
+++ b/crates/driver/src/routing/event_loop/members.rs
@@ -56,7 +56,7 @@
                 self.on_answer(now, request, answer);
             }
         } else if let Some(request) = self.member_requests.close(connection) {
-            // No copy, then: what follows it isn't the answer.
+            // A held answer is the final one: what follows it isn't an answer.
             self.on_answer(now, request, held.unwrap_or(answer));
         }
     }
--- a/crates/driver/src/routing/member_requests/held_answers.rs
+++ b/crates/driver/src/routing/member_requests/held_answers.rs
@@ -5,7 +5,7 @@
 use asterlatch::time::{TimeSpan, Timestamp};
 use std::collections::BTreeMap;
 
-/// Time for which an answer is held.
+/// Maximum time for which an answer is held; an answer that is equal to the last one by chance is late by it.
 const MAX_HOLD: TimeSpan = TimeSpan::millis(50);
 
 struct HeldAnswer {
@@ -34,7 +34,7 @@
         Some(self.0.remove(&connection)?.answer)
     }
 
-    /// The connection whose answer is held no longer, and when.
+    /// The connection whose answer is released first, and when.
     pub(super) fn next(&self) -> Option<(Timestamp, u32)> {
         self.0
             .iter()
